--- /dev/null
+++ b/base/include/peridotward/base/error.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <peridotward/base/error_kind.hpp>
+
+#include <tl/expected.hpp>
+
+#include <string>
+
+namespace peridotward {
+
+/// \brief One refusal: its kind and what exactly was wrong.
+struct error
+{
+    error_kind kind = error_kind::internal;
+    std::string message; ///< Names the thing and its value.
+};
+
+/// \brief Either a value or the error that prevented it.
+template<class Value>
+using result = tl::expected<Value, error>;
+
+/// \returns A failed result.
+[[nodiscard]] inline tl::unexpected<error>
+fail(error_kind kind, std::string message)
+{
+    return tl::unexpected<error>{error{kind, std::move(message)}};
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/base/include/peridotward/base/range_set.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <peridotward/base/key_range.hpp>
+
+#include <vector>
+
+namespace peridotward {
+
+/// \brief Set of keys kept as sorted, disjoint, non-adjacent ranges.
+class range_set
+{
+public:
+    /// \brief Adds `range` unless it overlaps what is there.
+    ///
+    /// \returns False, with the set unchanged, on an overlap or an empty range.
+    bool add(key_range range);
+
+    /// \returns Whether any key of `range` is in the set.
+    [[nodiscard]] bool overlaps(key_range range) const noexcept;
+
+    /// \returns The parts of `within` that the set lacks, in order.
+    [[nodiscard]] std::vector<key_range> missing(key_range within) const;
+
+    /// \returns The number of keys in the set.
+    [[nodiscard]] std::uint64_t size() const noexcept;
+
+    /// \brief Empties the set and keeps its memory.
+    void clear() noexcept { ranges_.clear(); }
+
+    /// \brief Makes room for `count` ranges.
+    void reserve(std::size_t count) { ranges_.reserve(count); }
+
+    [[nodiscard]] const std::vector<key_range>& ranges() const noexcept
+    {
+        return ranges_;
+    }
+
+private:
+    std::vector<key_range> ranges_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/base/include/peridotward/base/time.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <chrono>
+
+namespace peridotward {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+/// \brief Monotonic time, in nanoseconds since an arbitrary start.
+///
+/// \remarks Only values of one process may be compared.
+using time_point = std::chrono::steady_clock::time_point;
+
+/// \brief Span of monotonic time.
+using duration = time_point::duration;
+
+/// \brief Civil time, in milliseconds since the Unix epoch.
+using wall_time = std::chrono::sys_time<milliseconds>;
+
+} // namespace peridotward
--- /dev/null
+++ b/config/include/peridotward/config/bundle_types.hpp
@@ -0,0 +1,173 @@
+#pragma once
+
+#include <peridotward/base/endpoint.hpp>
+#include <peridotward/base/index.hpp>
+#include <peridotward/base/key_range.hpp>
+#include <peridotward/base/names.hpp>
+#include <peridotward/base/time.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peridotward {
+
+using domain_index = table_index<struct domain_tag>;
+using seat_index = table_index<struct seat_tag>;
+using service_index = table_index<struct service_tag>;
+using upstream_index = table_index<struct upstream_tag>;
+using search_index = table_index<struct search_tag>;
+using class_index = table_index<struct class_tag>;
+
+/// \brief Number of a version of the index; a higher one is newer.
+using snapshot_id = std::uint64_t;
+
+/// \brief Number of a version of the bundle.
+using bundle_version = std::uint64_t;
+
+/// \brief Whether operators let something take new work.
+enum class admin_state : std::uint8_t
+{
+    in,
+    out,
+};
+
+template<>
+struct name_table<admin_state>
+{
+    static constexpr std::array entries{
+        std::pair{admin_state::in, std::string_view{"in"}},
+        std::pair{admin_state::out, std::string_view{"out"}},
+    };
+};
+
+/// \brief What a service does.
+enum class service_kind : std::uint8_t
+{
+    search,  ///< Serves one shard of a search.
+    records, ///< Serves single records; repeats are harmless.
+    entries, ///< Takes single non-idempotent entries.
+};
+
+template<>
+struct name_table<service_kind>
+{
+    static constexpr std::array entries{
+        std::pair{service_kind::search, std::string_view{"search"}},
+        std::pair{service_kind::records, std::string_view{"records"}},
+        std::pair{service_kind::entries, std::string_view{"entries"}},
+    };
+};
+
+/// \brief What a search weighs most.
+enum class search_preference : std::uint8_t
+{
+    coverage, ///< Use the whole deadline for missing ranges.
+    latency,  ///< Answer once the coverage target is met.
+};
+
+template<>
+struct name_table<search_preference>
+{
+    static constexpr std::array entries{
+        std::pair{search_preference::coverage, std::string_view{"coverage"}},
+        std::pair{search_preference::latency, std::string_view{"latency"}},
+    };
+};
+
+/// \brief Order in which callers are served when not all can be.
+enum class caller_priority : std::uint8_t
+{
+    urgent,
+    normal,
+    bulk,
+};
+
+template<>
+struct name_table<caller_priority>
+{
+    static constexpr std::array entries{
+        std::pair{caller_priority::urgent, std::string_view{"urgent"}},
+        std::pair{caller_priority::normal, std::string_view{"normal"}},
+        std::pair{caller_priority::bulk, std::string_view{"bulk"}},
+    };
+};
+
+struct failure_domain
+{
+    std::string id;
+    std::string region;
+    admin_state state = admin_state::in;
+    std::uint32_t max_in_flight = 0; ///< Requests at once; 0 for no limit.
+};
+
+/// \brief A place in the fleet that one instance at a time fills.
+struct seat
+{
+    std::string id;
+    domain_index domain;
+};
+
+/// \brief A set of upstreams that serve the same data.
+struct service
+{
+    std::string id;
+    service_kind kind = service_kind::search;
+    std::uint32_t slots = 1;       ///< Requests at once on one upstream.
+    std::uint32_t connections = 1; ///< Connections at once to one upstream.
+    std::uint32_t cold_slots = 1;  ///< Requests at once during a cold start.
+    milliseconds connect_cost{1};
+    milliseconds cold_ramp{10000}; ///< Shortest way from cold to full slots.
+    std::vector<upstream_index> upstreams;
+};
+
+struct upstream
+{
+    std::string id;
+    service_index service;
+    domain_index domain;
+    endpoint address;
+    admin_state state = admin_state::in;
+};
+
+/// \brief One range of a key space and the service that serves it.
+struct shard
+{
+    service_index service;
+    key_range range;
+};
+
+/// \brief Division of a key space, valid from one snapshot on.
+struct shard_map
+{
+    std::string id;
+    snapshot_id from_snapshot = 0;
+    std::uint64_t key_space = 0; ///< Keys are in `[0, key_space)`.
+    std::vector<shard> shards;   ///< Sorted by range, without overlaps.
+};
+
+struct search_policy
+{
+    search_preference prefer = search_preference::coverage;
+    double coverage_target = 1.0;
+    milliseconds default_deadline{1000};
+    milliseconds max_deadline{10000};
+    std::uint32_t max_queued = 256; ///< Waiting queries on one instance.
+};
+
+struct search
+{
+    std::string id;
+    std::string map; ///< Name of its shard maps.
+    key_range range;
+    search_policy policy;
+};
+
+struct caller_class
+{
+    std::string id;
+    caller_priority priority = caller_priority::normal;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/config/include/peridotward/config/config.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <peridotward/config/bundle.hpp>
+#include <peridotward/config/bundle_types.hpp>
+#include <peridotward/config/instance_list.hpp>
+#include <peridotward/config/settings.hpp>
+#include <peridotward/config/sha256.hpp>
--- /dev/null
+++ b/config/src/bundle_parser.cpp
@@ -0,0 +1,306 @@
+#include <peridotward/base/object_reader.hpp>
+#include <peridotward/config/bundle.hpp>
+#include <peridotward/config/sha256.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace peridotward {
+
+namespace {
+
+constexpr std::int64_t max_key_space = std::int64_t{1} << 53;
+constexpr std::int64_t max_snapshot = std::int64_t{1} << 53;
+constexpr std::int64_t max_slots = 4096;
+constexpr std::int64_t max_deadline_ms = 60'000;
+
+/// Builds one bundle from a document; every complaint is an exception.
+class bundle_parser
+{
+public:
+    bundle_ptr parse(const json& document)
+    {
+        object_reader reader{document, ""};
+        built_->version = static_cast<bundle_version>(
+            reader.integer("version", 1, max_snapshot));
+        built_->deployment = reader.text("deployment");
+        each(reader, "domains", &bundle_parser::read_domain);
+        each(reader, "seats", &bundle_parser::read_seat);
+        if (reader.has("caller_classes"))
+            each(reader, "caller_classes", &bundle_parser::read_class);
+        each(reader, "services", &bundle_parser::read_service);
+        each(reader, "upstreams", &bundle_parser::read_upstream);
+        each(reader, "shard_maps", &bundle_parser::read_map);
+        each(reader, "searches", &bundle_parser::read_search);
+        reader.finish();
+        check_services();
+        built_->digest = canonical_digest(document);
+        return built_;
+    }
+
+private:
+    using entry_reader = void (bundle_parser::*)(object_reader&);
+
+    void each(object_reader& reader, std::string_view key, entry_reader read)
+    {
+        std::size_t position = 0;
+        for (const auto& value : reader.array(key)) {
+            object_reader entry{
+                value, std::string{key} + "[" + std::to_string(position) + "]"};
+            (this->*read)(entry);
+            entry.finish();
+            ++position;
+        }
+        if (position == 0)
+            reader.complain(key, "is empty");
+    }
+
+    /// Reads an id and refuses one that the table already has.
+    template<class Entry>
+    std::string
+    read_id(object_reader& reader, const std::vector<Entry>& entries)
+    {
+        auto id = reader.text("id");
+        for (const auto& entry : entries) {
+            if (entry.id == id)
+                reader.complain("id", "\"" + id + "\" stands twice");
+        }
+        return id;
+    }
+
+    template<class Index>
+    Index reference(
+        object_reader& reader,
+        std::string_view key,
+        Index (bundle::*find)(std::string_view) const noexcept)
+    {
+        const auto id = reader.text(key);
+        const auto index = ((*built_).*find)(id);
+        if (!index.valid())
+            reader.complain(key, "\"" + id + "\" is not defined");
+        return index;
+    }
+
+    static std::uint32_t count(
+        object_reader& reader,
+        std::string_view key,
+        std::int64_t low,
+        std::int64_t high)
+    {
+        return static_cast<std::uint32_t>(reader.integer(key, low, high));
+    }
+
+    static key_range read_range(object_reader& reader, std::uint64_t key_space)
+    {
+        const auto& value = reader.array("range");
+        const bool numbers = value.size() == 2 &&
+                             value[0].is_number_unsigned() &&
+                             value[1].is_number_unsigned();
+        key_range range;
+        if (numbers)
+            range = {value[0].get<record_key>(), value[1].get<record_key>()};
+        if (!numbers || range.empty() || range.last > key_space)
+            reader.complain(
+                "range",
+                "expected [first, last) within 0.." +
+                    std::to_string(key_space) + ", found " + value.dump());
+        return range;
+    }
+
+    void read_domain(object_reader& reader)
+    {
+        failure_domain domain;
+        domain.id = read_id(reader, built_->domains);
+        domain.region = reader.text("region");
+        domain.state = reader.choice_or("state", admin_state::in);
+        domain.max_in_flight = static_cast<std::uint32_t>(
+            reader.integer_or("max_in_flight", 1, 1 << 24, 0));
+        built_->domains.push_back(std::move(domain));
+    }
+
+    void read_seat(object_reader& reader)
+    {
+        seat entry;
+        entry.id = read_id(reader, built_->seats);
+        entry.domain = reference(reader, "domain", &bundle::find_domain);
+        built_->seats.push_back(std::move(entry));
+    }
+
+    void read_class(object_reader& reader)
+    {
+        caller_class entry;
+        entry.id = read_id(reader, built_->classes);
+        entry.priority = reader.choice_or("priority", caller_priority::normal);
+        built_->classes.push_back(std::move(entry));
+    }
+
+    void read_service(object_reader& reader)
+    {
+        service entry;
+        entry.id = read_id(reader, built_->services);
+        entry.kind = reader.choice_or("kind", service_kind::search);
+        entry.slots = count(reader, "slots", 1, max_slots);
+        entry.connections =
+            count(reader, "connections", entry.slots, max_slots);
+        entry.cold_slots = count(reader, "cold_slots", 1, entry.slots);
+        entry.connect_cost =
+            milliseconds{reader.integer_or("connect_cost_ms", 0, 10'000, 1)};
+        entry.cold_ramp = milliseconds{
+            reader.integer_or("cold_ramp_ms", 1, 3'600'000, 10'000)};
+        built_->services.push_back(std::move(entry));
+    }
+
+    void read_upstream(object_reader& reader)
+    {
+        upstream entry;
+        entry.id = read_id(reader, built_->upstreams);
+        entry.service = reference(reader, "service", &bundle::find_service);
+        entry.domain = reference(reader, "domain", &bundle::find_domain);
+        const auto address = parse_endpoint(reader.text("address"));
+        if (!address)
+            reader.complain("address", address.error().message);
+        entry.address = *address;
+        if (!addresses_.insert(entry.address).second)
+            reader.complain("address", entry.address.text() + " stands twice");
+        entry.state = reader.choice_or("state", admin_state::in);
+        built_->services[entry.service.position()].upstreams.push_back(
+            upstream_index{
+                static_cast<std::uint32_t>(built_->upstreams.size())});
+        built_->upstreams.push_back(std::move(entry));
+    }
+
+    void read_map(object_reader& reader)
+    {
+        shard_map map;
+        map.id = reader.text("id");
+        map.from_snapshot = static_cast<snapshot_id>(
+            reader.integer("from_snapshot", 0, max_snapshot));
+        map.key_space = static_cast<std::uint64_t>(
+            reader.integer("key_space", 1, max_key_space));
+        read_shards(reader, map);
+        check_map_order(reader, map);
+        built_->maps.push_back(std::move(map));
+    }
+
+    void read_shards(object_reader& reader, shard_map& map)
+    {
+        std::size_t position = 0;
+        for (const auto& value : reader.array("shards")) {
+            object_reader entry{
+                value,
+                reader.path() + ".shards[" + std::to_string(position) + "]"};
+            shard part;
+            part.service = reference(entry, "service", &bundle::find_service);
+            if (built_->at(part.service).kind != service_kind::search)
+                entry.complain("service", "is not of kind \"search\"");
+            part.range = read_range(entry, map.key_space);
+            if (!map.shards.empty() &&
+                part.range.first < map.shards.back().range.last)
+                entry.complain(
+                    "range", "overlaps or precedes the shard before it");
+            entry.finish();
+            map.shards.push_back(part);
+            ++position;
+        }
+        if (map.shards.empty())
+            reader.complain("shards", "is empty");
+    }
+
+    void check_map_order(object_reader& reader, const shard_map& map) const
+    {
+        for (const auto& other : built_->maps) {
+            if (other.id != map.id)
+                continue;
+            if (other.from_snapshot >= map.from_snapshot)
+                reader.complain(
+                    "from_snapshot",
+                    std::to_string(map.from_snapshot) +
+                        " does not follow the map before it");
+            if (other.key_space != map.key_space)
+                reader.complain(
+                    "key_space",
+                    std::to_string(map.key_space) +
+                        " differs from the map before it");
+        }
+    }
+
+    void read_search(object_reader& reader)
+    {
+        search entry;
+        entry.id = read_id(reader, built_->searches);
+        entry.map = reader.text("map");
+        const auto map = std::find_if(
+            built_->maps.begin(),
+            built_->maps.end(),
+            [&](const shard_map& candidate) {
+                return candidate.id == entry.map;
+            });
+        if (map == built_->maps.end())
+            reader.complain("map", "\"" + entry.map + "\" is not defined");
+        entry.range = {0, map->key_space};
+        if (reader.has("range"))
+            entry.range = read_range(reader, map->key_space);
+        if (reader.has("policy"))
+            entry.policy = read_policy(reader.object("policy"));
+        built_->searches.push_back(std::move(entry));
+    }
+
+    static search_policy read_policy(object_reader reader)
+    {
+        search_policy policy;
+        policy.prefer = reader.choice_or("prefer", policy.prefer);
+        policy.coverage_target =
+            reader.number_or("coverage_target", 0.0, 1.0, 1.0);
+        policy.max_deadline = milliseconds{reader.integer_or(
+            "max_deadline_ms",
+            1,
+            max_deadline_ms,
+            policy.max_deadline.count())};
+        policy.default_deadline = milliseconds{reader.integer_or(
+            "default_deadline_ms",
+            1,
+            policy.max_deadline.count(),
+            std::min(policy.default_deadline, policy.max_deadline).count())};
+        policy.max_queued = static_cast<std::uint32_t>(
+            reader.integer_or("max_queued", 1, 65536, policy.max_queued));
+        reader.finish();
+        return policy;
+    }
+
+    void check_services() const
+    {
+        for (const auto& entry : built_->services) {
+            if (entry.upstreams.empty())
+                throw invalid_document{
+                    "services: \"" + entry.id + "\" has no upstream"};
+        }
+    }
+
+    std::shared_ptr<bundle> built_ = std::make_shared<bundle>();
+    std::set<endpoint> addresses_;
+};
+
+} // namespace
+
+result<bundle_ptr> build_bundle(const json& document)
+{
+    try {
+        return bundle_parser{}.parse(document);
+    }
+    catch (const invalid_document& problem) {
+        return fail(error_kind::config_invalid, problem.what());
+    }
+}
+
+result<bundle_ptr> parse_bundle(std::string_view text)
+{
+    return parse_json(text, error_kind::config_invalid, true)
+        .and_then(build_bundle);
+}
+
+std::string canonical_digest(const json& document)
+{
+    return sha256_hex(document.dump());
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/core/include/peridotward/core/random_replica.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <peridotward/base/random.hpp>
+#include <peridotward/config/bundle.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <span>
+
+namespace peridotward {
+
+/// \brief Picks among the admitted upstreams that were not tried, at random.
+///
+/// \remarks The baseline that other policies are compared with.
+class random_replica
+{
+public:
+    random_replica(const bundle& in_force, random_source& random) noexcept
+        : in_force_{&in_force}, random_{&random}
+    {}
+
+    [[nodiscard]] std::optional<upstream_index> choose(
+        std::span<const upstream_index> candidates,
+        std::span<const upstream_index> tried,
+        time_point)
+    {
+        std::optional<upstream_index> chosen;
+        std::uint64_t seen = 0;
+        for (const auto candidate : candidates) {
+            const bool usable =
+                in_force_->admits(candidate) &&
+                std::find(tried.begin(), tried.end(), candidate) == tried.end();
+            if (usable && random_->below(++seen) == 0)
+                chosen = candidate;
+        }
+        return chosen;
+    }
+
+private:
+    const bundle* in_force_;
+    random_source* random_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/caller_api.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "filters.hpp"
+#include "record_runner.hpp"
+#include "search_runner.hpp"
+
+namespace peridotward {
+
+/// Routes callers' requests through the filters to their handlers.
+class caller_api
+{
+public:
+    using answer_handler = std::function<void(exchange_id, http_response)>;
+
+    caller_api(
+        node_state& state, upstream_gateway& gateway, answer_handler answer);
+
+    void on_request(exchange_id exchange, http_request request);
+    void on_gone(exchange_id exchange) { searches_.caller_gone(exchange); }
+
+    [[nodiscard]] const search_runner& searches() const noexcept
+    {
+        return searches_;
+    }
+
+private:
+    using chain = filter_chain<
+        readiness_filter,
+        body_filter,
+        identity_filter,
+        deadline_filter>;
+
+    [[nodiscard]] result<void> route(request_context& context);
+    [[nodiscard]] result<void>
+    route_record(request_context& context, std::string_view rest);
+    [[nodiscard]] http_response entries() const;
+
+    node_state* state_;
+    answer_handler answer_;
+    chain filters_;
+    search_runner searches_;
+    record_runner records_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/filters.cpp
@@ -0,0 +1,105 @@
+#include "filters.hpp"
+
+#include <charconv>
+
+namespace peridotward {
+
+namespace {
+
+constexpr std::size_t max_request_id = 128;
+constexpr std::int64_t max_deadline_ms = 60'000;
+constexpr std::int64_t default_deadline_ms = 1000;
+
+bool id_valid(std::string_view id)
+{
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
+    return !id.empty() && id.size() <= max_request_id &&
+           id.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+result<std::int64_t> wanted_deadline(const request_context& context)
+{
+    const auto found = context.body.find("deadline_ms");
+    if (context.body.is_object() && found != context.body.end()) {
+        if (!found->is_number_integer())
+            return fail(
+                error_kind::deadline_invalid,
+                "deadline_ms: expected an integer, found " + found->dump());
+        return found->get<std::int64_t>();
+    }
+    const auto text = find_header(context.http.query, "deadline_ms");
+    if (text.empty())
+        return default_deadline_ms;
+    std::int64_t parsed = 0;
+    const auto* end = text.data() + text.size();
+    const auto [last, code] = std::from_chars(text.data(), end, parsed);
+    if (code != std::errc{} || last != end)
+        return fail(
+            error_kind::deadline_invalid,
+            "deadline_ms: expected an integer, found \"" + std::string{text} +
+                "\"");
+    return parsed;
+}
+
+} // namespace
+
+result<void> readiness_filter::apply(request_context& context) const
+{
+    if (!state->in_force)
+        return fail(error_kind::not_ready, state->not_ready_reason());
+    context.in_force = state->in_force;
+    return {};
+}
+
+result<void> body_filter::apply(request_context& context) const
+{
+    if (context.http.method != "POST")
+        return {};
+    auto parsed = parse_json(context.http.body);
+    if (!parsed)
+        return tl::unexpected{parsed.error()};
+    if (!parsed->is_object())
+        return fail(error_kind::bad_request, "the body is not an object");
+    context.body = std::move(*parsed);
+    return {};
+}
+
+result<void> identity_filter::apply(request_context& context) const
+{
+    if (context.body.is_object() && context.body.contains("request_id")) {
+        const auto& id = context.body["request_id"];
+        if (!id.is_string() || !id_valid(id.get_ref<const std::string&>()))
+            return fail(
+                error_kind::bad_request,
+                "request_id: expected 1 to 128 letters, digits, \"-_.:\"");
+        context.request_id = id.get<std::string>();
+        return {};
+    }
+    const auto id = find_header(context.http.query, "request_id");
+    if (!id.empty() && !id_valid(id))
+        return fail(
+            error_kind::bad_request,
+            "request_id: expected 1 to 128 letters, digits, \"-_.:\"");
+    context.request_id = id;
+    if (id.empty())
+        context.request_id =
+            state->process + "." + std::to_string(state->random.next());
+    return {};
+}
+
+result<void> deadline_filter::apply(request_context& context) const
+{
+    const auto wanted = wanted_deadline(context);
+    if (!wanted)
+        return tl::unexpected{wanted.error()};
+    if (*wanted < 1 || *wanted > max_deadline_ms)
+        return fail(
+            error_kind::deadline_invalid,
+            "deadline_ms: expected 1.." + std::to_string(max_deadline_ms) +
+                ", found " + std::to_string(*wanted));
+    context.deadline = context.arrived + milliseconds{*wanted};
+    return {};
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/log.cpp
@@ -0,0 +1,105 @@
+#include "log.hpp"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace peridotward {
+
+namespace {
+
+log4cplus::LogLevel library_level(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        break;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() ||
+           value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
+}
+
+void append_value(std::string& line, std::string_view value)
+{
+    if (!needs_quotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            line += '\\';
+        line += c == '\n' || c == '\r' ? ' ' : c;
+    }
+    line += '"';
+}
+
+log4cplus::SharedAppenderPtr make_appender(const log_settings& wanted)
+{
+    if (wanted.file.empty())
+        return log4cplus::SharedAppenderPtr{
+            new log4cplus::ConsoleAppender{true, true}};
+    return log4cplus::SharedAppenderPtr{
+        new log4cplus::FileAppender{wanted.file, std::ios_base::app}};
+}
+
+} // namespace
+
+result<void> start_log(const log_settings& wanted, std::string_view instance)
+{
+    static const log4cplus::Initializer initializer;
+    const auto level = from_name<log_level>(wanted.level);
+    if (!level)
+        return fail(
+            error_kind::config_invalid,
+            "log.level: \"" + wanted.level +
+                "\" is not one of debug, info, warn, error");
+    auto appender = make_appender(wanted);
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+        "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p instance=" +
+        std::string{instance} + " %m%n"));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    change_log_level(*level);
+    return {};
+}
+
+void change_log_level(log_level level)
+{
+    log4cplus::Logger::getRoot().setLogLevel(library_level(level));
+}
+
+void log_event(
+    log_level level,
+    std::string_view event,
+    std::initializer_list<log_field> fields)
+{
+    const auto root = log4cplus::Logger::getRoot();
+    if (!root.isEnabledFor(library_level(level)))
+        return;
+    std::string line = "event=";
+    append_value(line, event);
+    for (const auto& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        append_value(line, field.value);
+    }
+    root.log(library_level(level), line);
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/node.cpp
@@ -0,0 +1,155 @@
+#include "caller_api.hpp"
+#include "log.hpp"
+#include "operator_api.hpp"
+#include "platform_reader.hpp"
+#include "status_poller.hpp"
+
+#include <peridotward/base/clock.hpp>
+#include <peridotward/http/http_server.hpp>
+#include <peridotward/instance/node.hpp>
+
+#include <atomic>
+#include <cstdlib>
+#include <random>
+
+namespace peridotward {
+
+namespace {
+
+constexpr milliseconds drain_check{20};
+
+http_server_options
+options_of(std::string name, const listener_settings& listener)
+{
+    http_server_options options;
+    options.name = std::move(name);
+    options.address = listener.address;
+    options.threads = listener.threads;
+    options.max_request_bytes = listener.max_request_bytes;
+    options.header_timeout = listener.header_timeout;
+    options.body_timeout = listener.body_timeout;
+    return options;
+}
+
+std::uint64_t process_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+} // namespace
+
+struct node::impl
+{
+    explicit impl(settings configured)
+        : state{std::move(configured), time, process_seed()},
+          gateway{state.loop},
+          callers{
+              state,
+              gateway,
+              [this](exchange_id id, http_response response) {
+                  caller_server.reply(id, std::move(response));
+              }},
+          operators{state, callers},
+          platform{state},
+          poller{state, gateway},
+          caller_server{
+              options_of("callers", state.configured.callers),
+              [this](exchange_id id, http_request request) {
+                  state.loop.post(
+                      [this, id, request = std::move(request)]() mutable {
+                          callers.on_request(id, std::move(request));
+                      });
+              },
+              [this](exchange_id id) {
+                  state.loop.post([this, id] { callers.on_gone(id); });
+              }},
+          operator_server{
+              options_of("operators", state.configured.operators),
+              [this](exchange_id id, http_request request) {
+                  state.loop.post([this, id, request = std::move(request)] {
+                      operator_server.reply(id, operators.on_request(request));
+                  });
+              },
+              [](exchange_id) {}}
+    {}
+
+    void leave();
+    void stop_when_idle();
+
+    machine_clock time;
+    node_state state;
+    upstream_gateway gateway;
+    caller_api callers;
+    operator_api operators;
+    platform_reader platform;
+    status_poller poller;
+    http_server caller_server;
+    http_server operator_server;
+    std::atomic<int> stop_requests{0};
+    time_point stop_limit;
+};
+
+node::node(settings configured)
+    : impl_{std::make_unique<impl>(std::move(configured))}
+{}
+
+node::~node() = default;
+
+result<void> node::start()
+{
+    return impl_->caller_server.start().and_then(
+        [&] { return impl_->operator_server.start(); });
+}
+
+void node::run()
+{
+    const auto& configured = impl_->state.configured;
+    log_event(
+        log_level::info,
+        "started",
+        {{"callers", configured.callers.address.text()},
+         {"operators", configured.operators.address.text()},
+         {"process", impl_->state.process}});
+    impl_->platform.start();
+    impl_->poller.start();
+    impl_->state.loop.run();
+    impl_->caller_server.stop();
+    impl_->operator_server.stop();
+    log_event(log_level::info, "stopped");
+}
+
+void node::request_stop()
+{
+    if (impl_->stop_requests++ > 0) {
+        log_event(
+            log_level::warn,
+            "stopped_at_once",
+            {{"cut", impl_->caller_server.open_exchanges()}});
+        std::_Exit(EXIT_FAILURE);
+    }
+    impl_->state.loop.post([this] { impl_->leave(); });
+}
+
+void node::impl::leave()
+{
+    state.leaving = true;
+    stop_limit = state.loop.now() + state.configured.limits.stop_limit;
+    log_event(log_level::info, "leaving");
+    state.loop.after(
+        state.configured.limits.entries_max_age, [this] { stop_when_idle(); });
+}
+
+void node::impl::stop_when_idle()
+{
+    const auto owed = caller_server.open_exchanges();
+    if (owed > 0 && state.loop.now() < stop_limit) {
+        state.loop.after(drain_check, [this] { stop_when_idle(); });
+        return;
+    }
+    if (owed > 0)
+        log_event(log_level::warn, "stop_limit_reached", {{"cut", owed}});
+    state.loop.stop();
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/node_state.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "event_loop.hpp"
+#include "metrics.hpp"
+
+#include <peridotward/base/random.hpp>
+#include <peridotward/config/bundle.hpp>
+#include <peridotward/config/instance_list.hpp>
+#include <peridotward/config/settings.hpp>
+#include <peridotward/core/snapshot_tracker.hpp>
+
+#include <string>
+
+namespace peridotward {
+
+/// What the parts of one instance share; owned by the loop's thread.
+struct node_state
+{
+    node_state(settings wanted, const clock& time, std::uint64_t seed)
+        : configured{std::move(wanted)},
+          loop{time},
+          random{seed},
+          process{configured.instance.id + "." + std::to_string(seed)}
+    {}
+
+    settings configured;
+    event_loop loop;
+    metrics counted;
+    random_source random;
+    std::string process; ///< Instance and start; unique over restarts.
+    bundle_ptr in_force; ///< Null until a bundle is accepted.
+    instance_list listed;
+    snapshot_tracker snapshots;
+    bool leaving = false;
+
+    /// \returns Whether the instance can serve, else the reason.
+    [[nodiscard]] std::string not_ready_reason() const
+    {
+        if (leaving)
+            return "the instance is leaving";
+        if (!in_force)
+            return "no bundle is in force";
+        return {};
+    }
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/operator_api.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "caller_api.hpp"
+
+namespace peridotward {
+
+/// Answers operators: state, metrics and health.
+class operator_api
+{
+public:
+    operator_api(node_state& state, const caller_api& callers)
+        : state_{&state}, callers_{&callers}
+    {}
+
+    [[nodiscard]] http_response on_request(const http_request& request) const;
+
+private:
+    [[nodiscard]] json dump() const;
+
+    node_state* state_;
+    const caller_api* callers_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/platform_reader.cpp
@@ -0,0 +1,98 @@
+#include "log.hpp"
+#include "platform_reader.hpp"
+
+namespace peridotward {
+
+namespace {
+
+constexpr seconds read_timeout{2};
+constexpr std::uint16_t http_ok = 200;
+
+bool whole(const client_response& response)
+{
+    return response.outcome == transport_outcome::answered &&
+           response.status == http_ok;
+}
+
+} // namespace
+
+void platform_reader::start()
+{
+    read_bundle();
+    read_list();
+}
+
+void platform_reader::read_bundle()
+{
+    const auto& platform = state_->configured.platform;
+    client_request request;
+    request.to = platform.configuration;
+    request.path = "/v1/values/" + platform.bundle_name;
+    request.timeout = read_timeout;
+    state_->counted.count("configuration_calls");
+    state_->loop.client().submit(request, [this](client_response response) {
+        if (whole(response))
+            accept_bundle(response.body);
+        else
+            state_->counted.count("configuration_call_failures");
+        state_->loop.after(state_->configured.platform.poll_interval, [this] {
+            read_bundle();
+        });
+    });
+}
+
+void platform_reader::read_list()
+{
+    client_request request;
+    request.to = state_->configured.platform.instance_list;
+    request.path = "/v1/instances";
+    request.timeout = read_timeout;
+    state_->loop.client().submit(request, [this](client_response response) {
+        if (whole(response))
+            accept_list(response.body);
+        else
+            state_->counted.count("instance_list_call_failures");
+        state_->loop.after(
+            state_->configured.platform.poll_interval, [this] { read_list(); });
+    });
+}
+
+void platform_reader::accept_bundle(const std::string& text)
+{
+    auto parsed = parse_bundle(text);
+    if (!parsed) {
+        state_->counted.count("bundles_refused");
+        log_event(
+            log_level::error,
+            "bundle_refused",
+            {{"reason", parsed.error().message}});
+        return;
+    }
+    const auto& current = state_->in_force;
+    if (current && (*parsed)->version <= current->version)
+        return;
+    state_->in_force = *parsed;
+    state_->snapshots.clear();
+    state_->counted.count("bundles_accepted");
+    log_event(
+        log_level::info,
+        "bundle_in_force",
+        {{"version", state_->in_force->version},
+         {"digest", state_->in_force->digest}});
+}
+
+void platform_reader::accept_list(const std::string& text)
+{
+    auto parsed = parse_instance_list(text);
+    if (!parsed) {
+        log_event(
+            log_level::error,
+            "instance_list_refused",
+            {{"reason", parsed.error().message}});
+        return;
+    }
+    if (parsed->version >= state_->listed.version)
+        state_->listed = std::move(*parsed);
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/upstream_gateway.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "event_loop.hpp"
+
+#include <peridotward/config/bundle.hpp>
+#include <peridotward/core/attempt.hpp>
+
+#include <functional>
+#include <string>
+
+namespace peridotward {
+
+/// What an upstream is asked for one attempt of a search.
+struct shard_request
+{
+    std::string id; ///< Unique over all instances and processes.
+    endpoint to;
+    std::string service;
+    key_range range;
+    snapshot_id snapshot = 0;
+    std::string criteria; ///< JSON text.
+    duration budget{};    ///< Time until the attempt's deadline.
+};
+
+/// What came back; `body` is unchecked.
+struct shard_response
+{
+    attempt_outcome outcome = attempt_outcome::not_sent;
+    bool sent = false;
+    std::uint16_t status = 0; ///< HTTP status, 0 without an answer.
+    upstream_report report;
+    duration elapsed{};
+    std::string body;
+};
+
+/// Speaks the upstreams' protocol.
+class upstream_gateway
+{
+public:
+    using completion = std::function<void(shard_response)>;
+
+    explicit upstream_gateway(event_loop& loop) : loop_{&loop} {}
+
+    void search(const shard_request& request, completion done);
+
+    /// Asks the upstream to give up on a request; needs no answer.
+    void cancel(const endpoint& to, const std::string& request);
+
+    /// Asks for the upstream's own report.
+    void status(const endpoint& to, completion done);
+
+    /// Fetches one record.
+    void fetch(
+        const endpoint& to,
+        const std::string& request,
+        const std::string& key,
+        duration budget,
+        completion done);
+
+    /// Appends one entry, on a fresh connection and never twice.
+    void append(
+        const endpoint& to,
+        const std::string& request,
+        const std::string& entry,
+        duration budget,
+        completion done);
+
+private:
+    void submit(client_request request, completion done);
+
+    event_loop* loop_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/standins/http_standin.cpp
@@ -0,0 +1,169 @@
+#include "http_standin.hpp"
+
+#include <chrono>
+#include <sstream>
+
+namespace peridotward::testing {
+
+using tcp = net::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::milliseconds drip_interval{20};
+constexpr std::size_t max_body = 16U << 20U;
+
+std::string to_bytes(const standin_response& response)
+{
+    std::ostringstream stream;
+    stream << response;
+    return stream.str();
+}
+
+} // namespace
+
+/// One connection; serves one request after the other.
+class connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<listener_hooks> hooks)
+        : socket_{std::move(socket)},
+          timer_{socket_.get_executor()},
+          hooks_{std::move(hooks)}
+    {}
+
+    ~connection() { hooks_->on_disconnect(); }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->body_limit(max_body);
+        auto self = shared_from_this();
+        beast_http::async_read(
+            socket_, buffer_, *parser_, [self](error_code code, std::size_t) {
+                if (!code)
+                    self->handle();
+            });
+    }
+
+private:
+    void handle()
+    {
+        keep_alive_ = parser_->get().keep_alive();
+        auto self = shared_from_this();
+        hooks_->on_request(
+            parser_->release(),
+            [self](standin_response response, wire_fault fault) {
+                self->answer(std::move(response), fault);
+            });
+    }
+
+    void answer(standin_response response, wire_fault fault)
+    {
+        if (fault.reset) {
+            error_code ignored;
+            socket_.set_option(net::socket_base::linger{true, 0}, ignored);
+            socket_.close(ignored);
+            return;
+        }
+        response.keep_alive(keep_alive_);
+        response.prepare_payload();
+        bytes_ = to_bytes(response);
+        if (fault.cut_at < 1.0) {
+            const auto whole = static_cast<double>(bytes_.size());
+            bytes_.resize(static_cast<std::size_t>(whole * fault.cut_at));
+            keep_alive_ = false;
+        }
+        if (fault.drip)
+            drip(0);
+        else
+            write();
+    }
+
+    void write()
+    {
+        auto self = shared_from_this();
+        net::async_write(
+            socket_, net::buffer(bytes_), [self](error_code code, std::size_t) {
+                if (!code && self->keep_alive_)
+                    self->read();
+            });
+    }
+
+    void drip(std::size_t position)
+    {
+        if (position >= bytes_.size())
+            return;
+        error_code code;
+        net::write(socket_, net::buffer(&bytes_[position], 1), code);
+        if (code)
+            return;
+        timer_.expires_after(drip_interval);
+        auto self = shared_from_this();
+        timer_.async_wait(
+            [self, position](error_code) { self->drip(position + 1); });
+    }
+
+    tcp::socket socket_;
+    net::steady_timer timer_;
+    std::shared_ptr<listener_hooks> hooks_;
+    boost::beast::flat_buffer buffer_;
+    boost::optional<beast_http::request_parser<beast_http::string_body>>
+        parser_;
+    std::string bytes_;
+    bool keep_alive_ = true;
+};
+
+namespace {
+
+struct listener
+{
+    tcp::acceptor acceptor;
+    std::shared_ptr<listener_hooks> hooks;
+};
+
+void accept_next(const std::shared_ptr<listener>& self)
+{
+    self->acceptor.async_accept([self](error_code code, tcp::socket socket) {
+        if (code)
+            return;
+        if (self->hooks->on_connect()) {
+            error_code ignored;
+            socket.set_option(tcp::no_delay{true}, ignored);
+            std::make_shared<connection>(std::move(socket), self->hooks)
+                ->read();
+        }
+        accept_next(self);
+    });
+}
+
+} // namespace
+
+void listen(
+    net::io_context& context,
+    const std::string& host,
+    std::uint16_t port,
+    std::shared_ptr<listener_hooks> hooks)
+{
+    auto self = std::make_shared<listener>(
+        listener{tcp::acceptor{context}, std::move(hooks)});
+    const tcp::endpoint address{net::ip::make_address(host), port};
+    self->acceptor.open(address.protocol());
+    self->acceptor.set_option(net::socket_base::reuse_address{true});
+    self->acceptor.bind(address);
+    self->acceptor.listen(1024);
+    accept_next(self);
+}
+
+standin_response make_response(unsigned status, std::string body)
+{
+    standin_response response;
+    response.result(status);
+    response.set(beast_http::field::content_type, "application/json");
+    response.body() = std::move(body);
+    return response;
+}
+
+} // namespace peridotward::testing
--- /dev/null
+++ b/tools/check_packages.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Checks that packages include only packages that stand before them, and that
+# the core does no input or output and reads no clock.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+declare -A allowed=(
+    [base]="base"
+    [config]="base config"
+    [core]="base config core"
+    [wire]="base config core wire"
+    [http]="base http"
+    [instance]="base config core wire http instance"
+    [ctl]="base config http"
+)
+status=0
+for package in "${!allowed[@]}"; do
+    while IFS=: read -r file _ include; do
+        used=${include#*<peridotward/}
+        used=${used%%/*}
+        case " ${allowed[$package]} peridotward.hpp> " in
+        *" $used "*) ;;
+        *)
+            echo "$file: package $package may not include package $used"
+            status=1
+            ;;
+        esac
+    done < <(git grep -n '#include <peridotward/' -- "$package/include" \
+        "$package/src" | grep -v 'peridotward/peridotward.hpp' |
+        sed 's/#include /:/; s/::/:/')
+done
+if git grep -nE 'system_clock|steady_clock::now|std::thread|random_device|socket\(' \
+    -- core/include core/src; then
+    echo "core: no clock, thread, randomness or input and output here"
+    status=1
+fi
+exit $status
