--- a/config/src/settings.cpp
+++ b/config/src/settings.cpp
@@ -166,9 +166,11 @@
 
 result<settings> load_settings(const std::filesystem::path& path)
 {
-    return read_file(path).and_then(parse_settings).map_error([&](error cause) {
-        return error{cause.kind, path.string() + ": " + cause.message};
-    });
+    return read_file(path)
+        .and_then(parse_settings)
+        .map_error([&](const error& cause) {
+            return error{cause.kind, path.string() + ": " + cause.message};
+        });
 }
 
 } // namespace peridotward
--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/peer_message.hpp>
 #include <peridotward/core/query.hpp>
 #include <peridotward/core/query_plan.hpp>
 #include <peridotward/core/random_replica.hpp>
--- a/ctl/src/options.cpp
+++ b/ctl/src/options.cpp
@@ -14,6 +14,7 @@
 std::vector<option> library_options(const std::vector<option_spec>& known)
 {
     std::vector<option> converted;
+    converted.reserve(known.size() + 2);
     for (const auto& spec : known)
         converted.push_back(
             {spec.name,
--- /dev/null
+++ b/instance/src/attempt_port.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "upstream_gateway.hpp"
+
+#include <peridotward/config/bundle.hpp>
+#include <peridotward/core/attempt.hpp>
+
+#include <functional>
+#include <span>
+#include <string>
+
+namespace peridotward {
+
+/// What the attempts of one query have in common.
+struct search_job
+{
+    query_id query{};
+    bundle_ptr in_force;
+    std::string criteria; ///< JSON text.
+    caller_priority priority = caller_priority::normal;
+};
+
+/// Carries the attempts of searches to upstreams, here or through others.
+class attempt_port
+{
+public:
+    /// Called on the loop's thread, once for each attempt sent, even when it
+    /// was cancelled, and never from within `send` or `cancel`.
+    using completion = std::function<void(const attempt&, shard_response)>;
+
+    attempt_port() = default;
+    attempt_port(const attempt_port&) = delete;
+    attempt_port& operator=(const attempt_port&) = delete;
+    virtual ~attempt_port() = default;
+
+    virtual void
+    send(const search_job& job, std::span<const attempt> attempts) = 0;
+    virtual void cancel(std::span<const attempt_id> attempts) = 0;
+
+    /// \returns The name under which upstreams know an attempt.
+    [[nodiscard]] virtual std::string name_of_attempt(attempt_id id) const = 0;
+
+    void on_end(completion handler) { done_ = std::move(handler); }
+
+protected:
+    void ended(const attempt& which, shard_response response) const
+    {
+        done_(which, std::move(response));
+    }
+
+private:
+    completion done_;
+};
+
+} // namespace peridotward
--- a/instance/src/caller_api.cpp
+++ b/instance/src/caller_api.cpp
@@ -12,7 +12,10 @@
 } // namespace
 
 caller_api::caller_api(
-    node_state& state, upstream_gateway& gateway, answer_handler answer)
+    node_state& state,
+    upstream_gateway& gateway,
+    attempt_port& port,
+    answer_handler answer)
     : state_{&state},
       answer_{std::move(answer)},
       filters_{
@@ -20,7 +23,7 @@
           body_filter{},
           identity_filter{&state},
           deadline_filter{}},
-      searches_{state, gateway, answer_},
+      searches_{state, port, answer_},
       records_{state, gateway, answer_}
 {}
 
@@ -77,9 +80,9 @@
             "service \"" + name + "\" is not defined");
     if (context.http.method == "GET" && slash != std::string_view::npos)
         return records_.fetch(
-            std::move(context), service, std::string{rest.substr(slash + 1)});
+            context, service, std::string{rest.substr(slash + 1)});
     if (context.http.method == "POST" && slash == std::string_view::npos)
-        return records_.append(std::move(context), service);
+        return records_.append(context, service);
     return fail(
         error_kind::unknown_path, "use GET with a key or POST without one");
 }
--- a/instance/src/caller_api.hpp
+++ b/instance/src/caller_api.hpp
@@ -13,7 +13,10 @@
     using answer_handler = std::function<void(exchange_id, http_response)>;
 
     caller_api(
-        node_state& state, upstream_gateway& gateway, answer_handler answer);
+        node_state& state,
+        upstream_gateway& gateway,
+        attempt_port& port,
+        answer_handler answer);
 
     void on_request(exchange_id exchange, http_request request);
     void on_gone(exchange_id exchange) { searches_.caller_gone(exchange); }
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -1,4 +1,5 @@
 #include "caller_api.hpp"
+#include "direct_port.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
 #include "platform_reader.hpp"
@@ -44,9 +45,11 @@
     explicit impl(settings configured)
         : state{std::move(configured), time, process_seed()},
           gateway{state.loop},
+          port{state, gateway},
           callers{
               state,
               gateway,
+              port,
               [this](exchange_id id, http_response response) {
                   caller_server.reply(id, std::move(response));
               }},
@@ -80,6 +83,7 @@
     machine_clock time;
     node_state state;
     upstream_gateway gateway;
+    direct_port port;
     caller_api callers;
     operator_api operators;
     platform_reader platform;
--- a/instance/src/platform_reader.cpp
+++ b/instance/src/platform_reader.cpp
@@ -30,15 +30,16 @@
     request.path = "/v1/values/" + platform.bundle_name;
     request.timeout = read_timeout;
     state_->counted.count("configuration_calls");
-    state_->loop.client().submit(request, [this](client_response response) {
-        if (whole(response))
-            accept_bundle(response.body);
-        else
-            state_->counted.count("configuration_call_failures");
-        state_->loop.after(state_->configured.platform.poll_interval, [this] {
-            read_bundle();
+    state_->loop.client().submit(
+        request, [this](const client_response& response) {
+            if (whole(response))
+                accept_bundle(response.body);
+            else
+                state_->counted.count("configuration_call_failures");
+            state_->loop.after(
+                state_->configured.platform.poll_interval,
+                [this] { read_bundle(); });
         });
-    });
 }
 
 void platform_reader::read_list()
@@ -47,14 +48,16 @@
     request.to = state_->configured.platform.instance_list;
     request.path = "/v1/instances";
     request.timeout = read_timeout;
-    state_->loop.client().submit(request, [this](client_response response) {
-        if (whole(response))
-            accept_list(response.body);
-        else
-            state_->counted.count("instance_list_call_failures");
-        state_->loop.after(
-            state_->configured.platform.poll_interval, [this] { read_list(); });
-    });
+    state_->loop.client().submit(
+        request, [this](const client_response& response) {
+            if (whole(response))
+                accept_list(response.body);
+            else
+                state_->counted.count("instance_list_call_failures");
+            state_->loop.after(
+                state_->configured.platform.poll_interval,
+                [this] { read_list(); });
+        });
 }
 
 void platform_reader::accept_bundle(const std::string& text)
--- a/instance/src/record_runner.cpp
+++ b/instance/src/record_runner.cpp
@@ -26,7 +26,9 @@
 }
 
 result<void> record_runner::fetch(
-    request_context context, service_index service, std::string key)
+    const request_context& context,
+    service_index service,
+    const std::string& key)
 {
     const auto& in_force = *context.in_force;
     if (in_force.at(service).kind != service_kind::records)
@@ -51,7 +53,7 @@
 }
 
 result<void>
-record_runner::append(request_context context, service_index service)
+record_runner::append(const request_context& context, service_index service)
 {
     const auto& in_force = *context.in_force;
     if (in_force.at(service).kind != service_kind::entries)
@@ -71,8 +73,8 @@
         context.request_id,
         body.dump(),
         context.deadline - state_->loop.now(),
-        [this, context](shard_response response) {
-            on_appended(context, std::move(response));
+        [this, context](const shard_response& response) {
+            on_appended(context, response);
         });
     return {};
 }
@@ -99,7 +101,7 @@
 }
 
 void record_runner::on_appended(
-    const request_context& context, shard_response response)
+    const request_context& context, const shard_response& response)
 {
     http_response answer;
     if (response.outcome == attempt_outcome::answered)
--- a/instance/src/record_runner.hpp
+++ b/instance/src/record_runner.hpp
@@ -18,16 +18,19 @@
         : state_{&state}, gateway_{&gateway}, answer_{std::move(answer)}
     {}
 
+    [[nodiscard]] result<void> fetch(
+        const request_context& context,
+        service_index service,
+        const std::string& key);
     [[nodiscard]] result<void>
-    fetch(request_context context, service_index service, std::string key);
-    [[nodiscard]] result<void>
-    append(request_context context, service_index service);
+    append(const request_context& context, service_index service);
 
 private:
     [[nodiscard]] result<upstream_index>
     pick(const bundle& in_force, service_index service);
     void on_fetched(const request_context& context, shard_response response);
-    void on_appended(const request_context& context, shard_response response);
+    void
+    on_appended(const request_context& context, const shard_response& response);
 
     node_state* state_;
     upstream_gateway* gateway_;
--- a/instance/src/search_runner.cpp
+++ b/instance/src/search_runner.cpp
@@ -38,6 +38,15 @@
 
 } // namespace
 
+search_runner::search_runner(
+    node_state& state, attempt_port& port, answer_handler answer)
+    : state_{&state}, port_{&port}, answer_{std::move(answer)}
+{
+    port_->on_end([this](const attempt& ended, shard_response response) {
+        on_response(ended, std::move(response));
+    });
+}
+
 result<void> search_runner::start(request_context context, search_index wanted)
 {
     const auto minimum = minimum_coverage(context.body);
@@ -65,13 +74,10 @@
     start.snapshot = *snapshot;
     start.deadline = context.deadline;
     start.coverage_target = definition.policy.coverage_target;
+    search_job job{
+        start.id, start.in_force, std::move(*criteria), context.priority};
     auto run = std::make_unique<running_search>(running_search{
-        std::move(context),
-        *minimum,
-        std::move(*criteria),
-        query{start},
-        {},
-        {}});
+        std::move(context), *minimum, std::move(job), query{start}, {}, {}});
     run->records.resize(run->state.plan().parts.size());
     auto& running = *run;
     running_.emplace(last_query_, std::move(run));
@@ -90,10 +96,10 @@
         auto& run = *it->second;
         if (run.context.exchange != exchange)
             continue;
+        std::vector<attempt_id> abandoned;
         for (const auto& [id, wanted] : run.sent)
-            gateway_->cancel(
-                run.context.in_force->at(wanted.upstream).address,
-                attempt_name(wanted.id));
+            abandoned.push_back(wanted.id);
+        port_->cancel(abandoned);
         state_->counted.count("callers_gone");
         running_.erase(it);
         return;
@@ -103,42 +109,18 @@
 void search_runner::carry_out(running_search& run, query_actions& actions)
 {
     for (const auto& wanted : actions.send)
-        send(run, wanted);
-    for (const auto id : actions.cancel) {
-        const auto found = run.sent.find(static_cast<std::uint64_t>(id));
-        if (found == run.sent.end())
-            continue;
-        gateway_->cancel(
-            run.context.in_force->at(found->second.upstream).address,
-            attempt_name(id));
-        state_->counted.count("attempts_cancelled");
-    }
+        run.sent.emplace(static_cast<std::uint64_t>(wanted.id), wanted);
+    state_->counted.count("attempts", actions.send.size());
+    state_->counted.count("attempts_cancelled", actions.cancel.size());
+    port_->send(run.job, actions.send);
+    port_->cancel(actions.cancel);
     if (actions.finished)
         finish(run);
 }
 
-void search_runner::send(running_search& run, const attempt& wanted)
+void search_runner::on_response(const attempt& ended, shard_response response)
 {
-    const auto& in_force = *run.context.in_force;
-    shard_request request;
-    request.id = attempt_name(wanted.id);
-    request.to = in_force.at(wanted.upstream).address;
-    request.service = in_force.service_of(wanted.upstream).id;
-    request.range = wanted.range;
-    request.snapshot = wanted.snapshot;
-    request.criteria = run.criteria;
-    request.budget = wanted.deadline - state_->loop.now();
-    run.sent.emplace(static_cast<std::uint64_t>(wanted.id), wanted);
-    state_->counted.count("attempts");
-    gateway_->search(request, [this, wanted](shard_response response) {
-        on_response(wanted.query, wanted, std::move(response));
-    });
-}
-
-void search_runner::on_response(
-    query_id id, const attempt& ended, shard_response response)
-{
-    const auto found = running_.find(static_cast<std::uint64_t>(id));
+    const auto found = running_.find(static_cast<std::uint64_t>(ended.query));
     if (found == running_.end()) {
         state_->counted.count("late_answers");
         return;
@@ -151,7 +133,7 @@
         auto parsed = parse_json(response.body);
         if (parsed)
             body = std::move(*parsed);
-        const auto name = attempt_name(ended.id);
+        const auto name = port_->name_of_attempt(ended.id);
         response.outcome = check_answer(
             body,
             {name,
@@ -251,10 +233,4 @@
     return response;
 }
 
-std::string search_runner::attempt_name(attempt_id id) const
-{
-    return state_->process + "." +
-           std::to_string(static_cast<std::uint64_t>(id));
-}
-
 } // namespace peridotward
--- a/instance/src/search_runner.hpp
+++ b/instance/src/search_runner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "attempt_port.hpp"
 #include "request_context.hpp"
-#include "upstream_gateway.hpp"
 
 #include <peridotward/core/query.hpp>
 
@@ -18,7 +18,7 @@
 {
     request_context context;
     double minimum = 0;
-    std::string criteria;
+    search_job job;
     query state;
     std::unordered_map<std::uint64_t, attempt> sent;
     std::vector<json> records; ///< One array for each part of the plan.
@@ -30,10 +30,7 @@
 public:
     using answer_handler = std::function<void(exchange_id, http_response)>;
 
-    search_runner(
-        node_state& state, upstream_gateway& gateway, answer_handler answer)
-        : state_{&state}, gateway_{&gateway}, answer_{std::move(answer)}
-    {}
+    search_runner(node_state& state, attempt_port& port, answer_handler answer);
 
     /// Starts a search, or answers with a refusal at once.
     [[nodiscard]] result<void>
@@ -49,16 +46,13 @@
 
 private:
     void carry_out(running_search& run, query_actions& actions);
-    void send(running_search& run, const attempt& wanted);
-    void
-    on_response(query_id id, const attempt& ended, shard_response response);
+    void on_response(const attempt& ended, shard_response response);
     void on_deadline(query_id id);
     void finish(running_search& run);
     [[nodiscard]] http_response render(running_search& run) const;
-    [[nodiscard]] std::string attempt_name(attempt_id id) const;
 
     node_state* state_;
-    upstream_gateway* gateway_;
+    attempt_port* port_;
     answer_handler answer_;
     std::uint64_t last_query_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<running_search>> running_;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,11 +1,14 @@
 #!/usr/bin/env bash
-# Checks formatting, then runs the linter on all sources of the product.
+# Checks formatting, then runs the linter on all sources of the product, or
+# on the given ones.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 mapfile -t all < <(git ls-files '*.cpp' '*.hpp')
 clang-format --dry-run --Werror "${all[@]}"
-mapfile -t sources < <(git ls-files '*/src/*.cpp' '*/main/*.cpp')
+sources=("$@")
+[ ${#sources[@]} -gt 0 ] ||
+    mapfile -t sources < <(git ls-files '*/src/*.cpp' '*/main/*.cpp')
 printf '%s\0' "${sources[@]}" |
     xargs -0 -n 4 -P "$(nproc)" clang-tidy --quiet -p build/release \
         2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
