--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -6,6 +6,7 @@
 find_library(PISTACHE_LIBRARY pistache REQUIRED)
 find_library(LOG4CPLUS_LIBRARY log4cplus REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(CBOR_LIBRARY cbor REQUIRED)
 find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 find_package(benchmark REQUIRED)
 
--- a/core/include/peridotward/core/peer_message.hpp
+++ b/core/include/peridotward/core/peer_message.hpp
@@ -154,6 +154,15 @@
     append, ///< Non-idempotent entry.
 };
 
+template<>
+struct name_table<record_action>
+{
+    static constexpr std::array entries{
+        std::pair{record_action::fetch, std::string_view{"fetch"}},
+        std::pair{record_action::append, std::string_view{"append"}},
+    };
+};
+
 /// \brief A request for a single record, handed to the owner of an upstream.
 struct record_request
 {
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -7,6 +7,7 @@
     libpistache-dev libwebsocketpp-dev nlohmann-json3-dev libexpected-dev
     catch2 libcurl4-openssl-dev libssl-dev librapidcheck-dev libboost-dev
     libboost-system-dev liblog4cplus-dev libxxhash-dev libbenchmark-dev
+    libcbor-dev
 )
 
 missing=()
--- /dev/null
+++ b/wire/include/peridotward/wire/wire.hpp
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <peridotward/wire/codec.hpp>
--- /dev/null
+++ b/wire/src/message_fields.hpp
@@ -0,0 +1,261 @@
+#pragma once
+
+#include <peridotward/core/peer_message.hpp>
+
+#include <string_view>
+#include <tuple>
+
+namespace peridotward {
+
+/// One member of a struct as it stands in a frame.
+template<class Struct, class Member>
+struct message_field
+{
+    std::string_view name;
+    Member Struct::*member;
+};
+
+template<class Struct, class Member>
+message_field(std::string_view, Member Struct::*)
+    -> message_field<Struct, Member>;
+
+/// The members of `Struct` in the order of the frame, in a tuple `list`.
+template<class Struct>
+struct message_fields;
+
+template<class Struct>
+concept described = requires
+{
+    message_fields<Struct>::list;
+};
+
+template<>
+struct message_fields<key_range>
+{
+    static constexpr std::tuple list{
+        message_field{"first", &key_range::first},
+        message_field{"last", &key_range::last},
+    };
+};
+
+template<>
+struct message_fields<endpoint>
+{
+    static constexpr std::tuple list{
+        message_field{"host", &endpoint::host},
+        message_field{"port", &endpoint::port},
+    };
+};
+
+template<>
+struct message_fields<snapshot_range>
+{
+    static constexpr std::tuple list{
+        message_field{"oldest", &snapshot_range::oldest},
+        message_field{"newest", &snapshot_range::newest},
+    };
+};
+
+template<>
+struct message_fields<upstream_report>
+{
+    static constexpr std::tuple list{
+        message_field{"phase", &upstream_report::phase},
+        message_field{"in_flight", &upstream_report::in_flight},
+        message_field{"snapshots", &upstream_report::snapshots},
+    };
+};
+
+template<>
+struct message_fields<member_update>
+{
+    static constexpr std::tuple list{
+        message_field{"id", &member_update::id},
+        message_field{"incarnation", &member_update::incarnation},
+        message_field{"refutation", &member_update::refutation},
+        message_field{"state", &member_update::state},
+        message_field{"ready", &member_update::ready},
+        message_field{"domain", &member_update::domain},
+        message_field{"peers", &member_update::peers},
+        message_field{"callers", &member_update::callers},
+    };
+};
+
+template<>
+struct message_fields<config_summary>
+{
+    static constexpr std::tuple list{
+        message_field{"version", &config_summary::version},
+        message_field{"digest", &config_summary::digest},
+        message_field{"list_version", &config_summary::list_version},
+    };
+};
+
+template<>
+struct message_fields<probe>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &probe::sequence},
+        message_field{"on_behalf_of", &probe::on_behalf_of},
+        message_field{"config", &probe::config},
+        message_field{"updates", &probe::updates},
+    };
+};
+
+template<>
+struct message_fields<probe_ack>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &probe_ack::sequence},
+        message_field{"on_behalf_of", &probe_ack::on_behalf_of},
+        message_field{"config", &probe_ack::config},
+        message_field{"updates", &probe_ack::updates},
+    };
+};
+
+template<>
+struct message_fields<probe_request>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &probe_request::sequence},
+        message_field{"target", &probe_request::target},
+    };
+};
+
+template<>
+struct message_fields<lease_request>
+{
+    static constexpr std::tuple list{
+        message_field{"round", &lease_request::round},
+        message_field{"bundle_version", &lease_request::bundle_version},
+        message_field{"incarnation", &lease_request::incarnation},
+        message_field{"wanted", &lease_request::wanted},
+        message_field{"released", &lease_request::released},
+    };
+};
+
+template<>
+struct message_fields<lease_reply>
+{
+    static constexpr std::tuple list{
+        message_field{"round", &lease_reply::round},
+        message_field{"bundle_version", &lease_reply::bundle_version},
+        message_field{"incarnation", &lease_reply::incarnation},
+        message_field{"granted", &lease_reply::granted},
+        message_field{"held", &lease_reply::held},
+    };
+};
+
+template<>
+struct message_fields<sub_attempt>
+{
+    static constexpr std::tuple list{
+        message_field{"id", &sub_attempt::id},
+        message_field{"upstream", &sub_attempt::upstream},
+        message_field{"range", &sub_attempt::range},
+        message_field{"snapshot", &sub_attempt::snapshot},
+        message_field{"hedge", &sub_attempt::hedge},
+    };
+};
+
+template<>
+struct message_fields<sub_request>
+{
+    static constexpr std::tuple list{
+        message_field{"bundle_version", &sub_request::bundle_version},
+        message_field{"budget_us", &sub_request::budget_us},
+        message_field{"priority", &sub_request::priority},
+        message_field{"criteria", &sub_request::criteria},
+        message_field{"attempts", &sub_request::attempts},
+    };
+};
+
+template<>
+struct message_fields<sub_cancel>
+{
+    static constexpr std::tuple list{
+        message_field{"attempts", &sub_cancel::attempts},
+    };
+};
+
+template<>
+struct message_fields<sub_reply>
+{
+    static constexpr std::tuple list{
+        message_field{"id", &sub_reply::id},
+        message_field{"outcome", &sub_reply::outcome},
+        message_field{"sent", &sub_reply::sent},
+        message_field{"not_owner", &sub_reply::not_owner},
+        message_field{"status", &sub_reply::status},
+        message_field{"elapsed_us", &sub_reply::elapsed_us},
+        message_field{"free_slots", &sub_reply::free_slots},
+        message_field{"report", &sub_reply::report},
+        message_field{"body", &sub_reply::body},
+    };
+};
+
+template<>
+struct message_fields<record_request>
+{
+    static constexpr std::tuple list{
+        message_field{"id", &record_request::id},
+        message_field{"bundle_version", &record_request::bundle_version},
+        message_field{"budget_us", &record_request::budget_us},
+        message_field{"action", &record_request::action},
+        message_field{"upstream", &record_request::upstream},
+        message_field{"request_id", &record_request::request_id},
+        message_field{"text", &record_request::text},
+    };
+};
+
+template<>
+struct message_fields<record_reply>
+{
+    static constexpr std::tuple list{
+        message_field{"id", &record_reply::id},
+        message_field{"outcome", &record_reply::outcome},
+        message_field{"sent", &record_reply::sent},
+        message_field{"duplicate", &record_reply::duplicate},
+        message_field{"expired", &record_reply::expired},
+        message_field{"status", &record_reply::status},
+        message_field{"body", &record_reply::body},
+    };
+};
+
+template<>
+struct message_fields<upstream_news::entry>
+{
+    static constexpr std::tuple list{
+        message_field{"upstream", &upstream_news::entry::upstream},
+        message_field{"report", &upstream_news::entry::report},
+    };
+};
+
+template<>
+struct message_fields<upstream_news>
+{
+    static constexpr std::tuple list{
+        message_field{"entries", &upstream_news::entries},
+    };
+};
+
+template<>
+struct message_fields<config_fetch>
+{
+    static constexpr std::tuple list{
+        message_field{"version", &config_fetch::version},
+        message_field{"digests", &config_fetch::digests},
+    };
+};
+
+template<>
+struct message_fields<config_part>
+{
+    static constexpr std::tuple list{
+        message_field{"version", &config_part::version},
+        message_field{"digest", &config_part::digest},
+        message_field{"bytes", &config_part::bytes},
+    };
+};
+
+} // namespace peridotward
