--- a/wire/include/peridotward/wire/wire.hpp
+++ b/wire/include/peridotward/wire/wire.hpp
@@ -1,3 +1,4 @@
 #pragma once
 
 #include <peridotward/wire/codec.hpp>
+#include <peridotward/wire/peer_link.hpp>
--- /dev/null
+++ b/wire/src/link/frame_link.cpp
@@ -0,0 +1,114 @@
+#include "frame_link.hpp"
+#include "inbound.hpp"
+#include "outbound.hpp"
+
+#include <thread>
+
+namespace peridotward {
+
+struct frame_link::impl
+{
+    impl(frame_link_options wanted, frame_link_events handlers)
+        : listener{io, shared}, connections{io, shared, wanted.seed}
+    {
+        shared.options = std::move(wanted);
+        shared.events = std::move(handlers);
+    }
+
+    void run();
+
+    boost::asio::io_context io{1};
+    link_context shared;
+    inbound listener;
+    outbound connections;
+    std::thread thread;
+};
+
+/// Runs the link's thread; what one connection throws ends no other.
+void frame_link::impl::run()
+{
+    const auto work = boost::asio::make_work_guard(io);
+    while (!io.stopped()) {
+        try {
+            io.run();
+        }
+        catch (const std::exception&) {
+            ++shared.invalid;
+        }
+    }
+}
+
+frame_link::frame_link(frame_link_options options, frame_link_events events)
+    : impl_{std::make_unique<impl>(std::move(options), std::move(events))}
+{}
+
+frame_link::~frame_link()
+{
+    stop();
+}
+
+std::string frame_link::start()
+{
+    auto problem = impl_->listener.start();
+    if (problem.empty())
+        impl_->thread = std::thread{[this] { impl_->run(); }};
+    return problem;
+}
+
+void frame_link::stop()
+{
+    if (!impl_->thread.joinable())
+        return;
+    boost::asio::post(impl_->io, [this] {
+        impl_->listener.stop();
+        impl_->connections.stop();
+        impl_->io.stop();
+    });
+    impl_->thread.join();
+}
+
+void frame_link::set_addresses(std::map<std::string, link_address> addresses)
+{
+    boost::asio::post(
+        impl_->io, [this, addresses = std::move(addresses)]() mutable {
+            impl_->connections.set_addresses(std::move(addresses));
+        });
+}
+
+void frame_link::send(std::string seat, std::string frame, std::uint64_t ticket)
+{
+    boost::asio::post(
+        impl_->io,
+        [this,
+         ticket,
+         seat = std::move(seat),
+         frame = std::move(frame)]() mutable {
+            impl_->connections.send(seat, std::move(frame), ticket);
+        });
+}
+
+void frame_link::refuse(std::set<std::string> seats)
+{
+    boost::asio::post(impl_->io, [this, seats = std::move(seats)]() mutable {
+        impl_->shared.refused = std::move(seats);
+        impl_->listener.apply_refusals();
+        impl_->connections.apply_refusals();
+    });
+}
+
+frame_link_counts frame_link::counts() const
+{
+    const auto& shared = impl_->shared;
+    frame_link_counts counts;
+    counts.frames_out = shared.frames_out;
+    counts.bytes_out = shared.bytes_out;
+    counts.frames_in = shared.frames_in;
+    counts.bytes_in = shared.bytes_in;
+    counts.refused = shared.refusals;
+    counts.invalid = shared.invalid;
+    counts.dropped = shared.dropped;
+    counts.connects = shared.connects;
+    return counts;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/wire/src/peer_link.cpp
@@ -0,0 +1,105 @@
+#include "link/frame_link.hpp"
+
+#include <peridotward/wire/codec.hpp>
+#include <peridotward/wire/peer_link.hpp>
+
+namespace peridotward {
+
+namespace {
+
+frame_link_options frame_options(const peer_link_options& wanted)
+{
+    frame_link_options options;
+    options.address = {wanted.address.host, wanted.address.port};
+    options.seat = wanted.seat;
+    options.incarnation = wanted.incarnation;
+    options.key = wanted.key;
+    options.max_frame_bytes = wanted.max_frame_bytes;
+    options.seed = wanted.seed;
+    return options;
+}
+
+frame_link_events frame_events(peer_link_events events)
+{
+    frame_link_events converted;
+    converted.received = [handler = std::move(events.received)](
+                             const std::string& seat,
+                             std::uint64_t incarnation,
+                             const std::string& frame) {
+        auto message = decode(frame);
+        if (message)
+            handler(seat, incarnation, std::move(*message));
+        return message.has_value();
+    };
+    converted.unsent = std::move(events.unsent);
+    converted.lost = std::move(events.lost);
+    return converted;
+}
+
+} // namespace
+
+struct peer_link::impl
+{
+    impl(const peer_link_options& options, peer_link_events events)
+        : frames{frame_options(options), frame_events(std::move(events))}
+    {}
+
+    frame_link frames;
+};
+
+peer_link::peer_link(peer_link_options options, peer_link_events events)
+    : impl_{std::make_unique<impl>(options, std::move(events))}
+{}
+
+peer_link::~peer_link() = default;
+
+result<void> peer_link::start()
+{
+    auto problem = impl_->frames.start();
+    if (!problem.empty())
+        return fail(error_kind::io_failed, std::move(problem));
+    return {};
+}
+
+void peer_link::stop()
+{
+    impl_->frames.stop();
+}
+
+void peer_link::set_addresses(const std::map<std::string, endpoint>& addresses)
+{
+    std::map<std::string, link_address> converted;
+    for (const auto& [seat, address] : addresses)
+        converted.emplace(seat, link_address{address.host, address.port});
+    impl_->frames.set_addresses(std::move(converted));
+}
+
+void peer_link::send(
+    const std::string& seat,
+    const peer_message& message,
+    delivery_ticket ticket)
+{
+    impl_->frames.send(seat, encode(message), ticket);
+}
+
+void peer_link::refuse(std::set<std::string> seats)
+{
+    impl_->frames.refuse(std::move(seats));
+}
+
+peer_link_counts peer_link::counts() const
+{
+    const auto counted = impl_->frames.counts();
+    peer_link_counts counts;
+    counts.frames_out = counted.frames_out;
+    counts.bytes_out = counted.bytes_out;
+    counts.frames_in = counted.frames_in;
+    counts.bytes_in = counted.bytes_in;
+    counts.refused = counted.refused;
+    counts.invalid = counted.invalid;
+    counts.dropped = counted.dropped;
+    counts.connects = counted.connects;
+    return counts;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/wire/tests/link_fixture.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <peridotward/wire/peer_link.hpp>
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace peridotward {
+
+/// One link with all that it reported.
+class recorded_link
+{
+public:
+    struct message
+    {
+        std::string from;
+        incarnation_number incarnation = 0;
+        peer_message body;
+    };
+    struct record
+    {
+        std::vector<message> messages;
+        std::vector<delivery_ticket> unsent;
+        std::vector<std::string> lost;
+    };
+
+    explicit recorded_link(peer_link_options options)
+        : link_{std::move(options), events()}
+    {}
+
+    peer_link* operator->() noexcept { return &link_; }
+
+    /// \returns Whether `holds` became true.
+    bool wait(const std::function<bool(const record&)>& holds)
+    {
+        std::unique_lock lock{mutex_};
+        return changed_.wait_for(
+            lock, seconds{20}, [&] { return holds(all_); });
+    }
+    record seen()
+    {
+        const std::scoped_lock lock{mutex_};
+        return all_;
+    }
+
+private:
+    peer_link_events events()
+    {
+        peer_link_events handlers;
+        handlers.received = [this](
+                                const std::string& seat,
+                                incarnation_number incarnation,
+                                peer_message body) {
+            note([&] {
+                all_.messages.push_back({seat, incarnation, std::move(body)});
+            });
+        };
+        handlers.unsent = [this](const std::string&, delivery_ticket ticket) {
+            note([&] { all_.unsent.push_back(ticket); });
+        };
+        handlers.lost = [this](const std::string& seat) {
+            note([&] { all_.lost.push_back(seat); });
+        };
+        return handlers;
+    }
+    template<class Change>
+    void note(Change change)
+    {
+        const std::scoped_lock lock{mutex_};
+        change();
+        changed_.notify_all();
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    record all_;
+    peer_link link_;
+};
+
+inline endpoint link_endpoint(int seat)
+{
+    return {"127.33.0." + std::to_string(seat), 8082};
+}
+
+inline std::unique_ptr<recorded_link>
+start_link(int seat, const std::string& key = "shared key")
+{
+    peer_link_options options;
+    options.address = link_endpoint(seat);
+    options.seat = "s" + std::to_string(seat);
+    options.incarnation = 1000U + static_cast<unsigned>(seat);
+    options.key = key;
+    options.max_frame_bytes = 65536;
+    auto link = std::make_unique<recorded_link>(options);
+    const auto started = (*link)->start();
+    if (!started)
+        throw std::runtime_error{started.error().message};
+    (*link)->set_addresses(
+        {{"s1", link_endpoint(1)},
+         {"s2", link_endpoint(2)},
+         {"s3", link_endpoint(3)}});
+    return link;
+}
+
+} // namespace peridotward
