At most once: ids with a time, one owner each, a bounded window

Cause: nothing may be stored and instances are replaced at any time, yet a non-idempotent request must not run twice. Change: entry_id reads the caller's time from the id; entry_router maps an id by rendezvous hashing to one admitted upstream and knows which ids a bundle moved; entry_window refuses what its owner cannot know. entry_selector orders addresses for callers. Conclusion: a replaced owner refuses ids issued before its tenure plus two clock errors; availability is paid, never a doubled run.

--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -2,6 +2,10 @@
 
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/entry_id.hpp>
+#include <peridotward/core/entry_router.hpp>
+#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/entry_window.hpp>
 #include <peridotward/core/peer_message.hpp>
 #include <peridotward/core/query.hpp>
 #include <peridotward/core/query_plan.hpp>
