Callers' classes, entries, explain and dump for operators

Cause: callers could not be told apart, entries ignored the caller, and operators saw only raw JSON. Conclusion: `explain` answers once the query runner records its traces.

--- a/config/include/peridotward/config/settings.hpp
+++ b/config/include/peridotward/config/settings.hpp
@@ -55,6 +55,21 @@
     std::uint32_t required = 0;         ///< How many of them must sign.
 };
 
+/// \brief A token that identifies callers of one class.
+struct caller_token
+{
+    std::string sha256; ///< Digest of the token, in hexadecimal.
+    std::string caller_class;
+};
+
+/// \brief Whom callers are taken for.
+struct trust_settings
+{
+    std::string default_class; ///< Of callers without a token.
+    bool require_token = false;
+    std::vector<caller_token> tokens;
+};
+
 struct log_settings
 {
     std::string level = "info";
@@ -79,6 +94,7 @@
     peer_settings peers;
     platform_settings platform;
     sign_off_settings sign_off;
+    trust_settings trust;
     log_settings log;
     limit_settings limits;
 };
--- a/config/src/settings.cpp
+++ b/config/src/settings.cpp
@@ -95,6 +95,25 @@
     return sign_off;
 }
 
+trust_settings read_trust(object_reader reader)
+{
+    trust_settings trust;
+    trust.default_class = reader.text_or("default_class", "");
+    trust.require_token = reader.flag_or("require_token", false);
+    if (reader.has("tokens")) {
+        for (const auto& value : reader.array("tokens")) {
+            object_reader entry{value, "trust.tokens"};
+            caller_token token;
+            token.sha256 = entry.text("sha256");
+            token.caller_class = entry.text("class");
+            entry.finish();
+            trust.tokens.push_back(std::move(token));
+        }
+    }
+    reader.finish();
+    return trust;
+}
+
 log_settings read_log(object_reader reader)
 {
     log_settings log;
@@ -129,6 +148,8 @@
     parsed.platform = read_platform(reader.object("platform"));
     if (reader.has("sign_off"))
         parsed.sign_off = read_sign_off(reader.object("sign_off"));
+    if (reader.has("trust"))
+        parsed.trust = read_trust(reader.object("trust"));
     if (reader.has("log"))
         parsed.log = read_log(reader.object("log"));
     if (reader.has("limits"))
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -16,6 +16,10 @@
         "show which addresses callers use",
         peridotward::ctl::run_entries},
     verb{"dump", "show the state of instances", peridotward::ctl::run_dump},
+    verb{
+        "explain",
+        "show what one recent query did",
+        peridotward::ctl::run_explain},
     verb{"load", "drive searches and measure", peridotward::ctl::run_load},
 };
 
--- a/ctl/src/query_verbs.cpp
+++ b/ctl/src/query_verbs.cpp
@@ -22,11 +22,6 @@
     "\n"
     "Asks one instance which addresses callers use.\n";
 
-constexpr std::string_view dump_usage =
-    "usage: peridotctl dump --at HOST:PORT [--section NAME]\n"
-    "\n"
-    "Prints the state of the instance whose operators' listener is there.\n";
-
 /// Sends `request` to the address of option --at and prints the answer.
 exit_code print_answer(const options& parsed, client_request request)
 {
@@ -92,17 +87,4 @@
     return print_answer(*parsed, std::move(request));
 }
 
-exit_code run_dump(int argc, char** argv)
-{
-    const auto parsed = parse_options(
-        argc, argv, {{"at", true}, {"section", true}}, dump_usage);
-    if (!parsed)
-        return help_was_asked() ? exit_code::done : exit_code::usage;
-    client_request request;
-    request.path = "/v1/state";
-    if (parsed->has("section"))
-        request.path += "?section=" + parsed->text("section");
-    return print_answer(*parsed, std::move(request));
-}
-
 } // namespace peridotward::ctl
--- a/ctl/src/verb.hpp
+++ b/ctl/src/verb.hpp
@@ -26,6 +26,7 @@
 exit_code run_query(int argc, char** argv);
 exit_code run_entries(int argc, char** argv);
 exit_code run_dump(int argc, char** argv);
+exit_code run_explain(int argc, char** argv);
 exit_code run_load(int argc, char** argv);
 
 } // namespace peridotward::ctl
--- a/instance/src/caller_api.cpp
+++ b/instance/src/caller_api.cpp
@@ -1,5 +1,7 @@
 #include "caller_api.hpp"
 
+#include <peridotward/core/entry_selector.hpp>
+
 namespace peridotward {
 
 namespace {
@@ -22,15 +24,24 @@
           readiness_filter{&state},
           body_filter{},
           identity_filter{&state},
-          deadline_filter{}},
-      searches_{state, port, answer_},
-      records_{state, gateway, answer_}
+          class_filter{&state},
+          deadline_filter{},
+          duplicate_filter{&state}},
+      searches_{
+          state,
+          port,
+          [this](exchange_id id, http_response response) {
+              finish(id, std::move(response));
+          }},
+      records_{state, gateway, [this](exchange_id id, http_response response) {
+                   finish(id, std::move(response));
+               }}
 {}
 
 void caller_api::on_request(exchange_id exchange, http_request request)
 {
     if (request.method == "GET" && request.path == entries_path) {
-        answer_(exchange, entries());
+        finish(exchange, entries(request));
         return;
     }
     request_context context;
@@ -38,16 +49,40 @@
     context.http = std::move(request);
     context.arrived = state_->loop.now();
     auto outcome = filters_.apply(context);
+    if (context.registered)
+        open_.emplace(static_cast<std::uint64_t>(exchange), context.request_id);
+    const auto request_id = context.request_id;
     if (outcome)
         outcome = route(context);
     if (!outcome) {
         state_->counted.count("refusals");
-        answer_(
-            exchange,
-            refusal(outcome.error(), context.request_id, retry_after));
+        finish(exchange, refusal(outcome.error(), request_id, retry_after));
     }
 }
 
+void caller_api::on_gone(exchange_id exchange)
+{
+    searches_.caller_gone(exchange);
+    forget(exchange);
+}
+
+void caller_api::finish(exchange_id exchange, http_response response)
+{
+    forget(exchange);
+    // A caller of a leaving instance is asked to connect elsewhere.
+    response.close = response.close || state_->leaving;
+    answer_(exchange, std::move(response));
+}
+
+void caller_api::forget(exchange_id exchange)
+{
+    const auto found = open_.find(static_cast<std::uint64_t>(exchange));
+    if (found == open_.end())
+        return;
+    state_->running_ids.erase(found->second);
+    open_.erase(found);
+}
+
 result<void> caller_api::route(request_context& context)
 {
     const std::string path = context.http.path;
@@ -87,17 +122,29 @@
         error_kind::unknown_path, "use GET with a key or POST without one");
 }
 
-http_response caller_api::entries() const
+http_response caller_api::entries(const http_request& request) const
 {
+    std::vector<entry_candidate> candidates;
+    const auto& self = state_->configured.instance.id;
+    for (const auto& entry : state_->listed.instances)
+        candidates.push_back(
+            {entry.id,
+             entry.domain,
+             entry.callers,
+             entry.state == listed_state::live &&
+                 (entry.id != self || !state_->leaving)});
+    // Callers behind one address may name themselves to spread.
+    auto caller = find_header(request.query, "caller");
+    if (caller.empty())
+        caller = request.peer_host;
+    const auto selected = select_entries(
+        std::move(candidates), caller, find_header(request.query, "domain"));
     json addresses = json::array();
-    for (const auto& entry : state_->listed.instances) {
-        if (entry.state != listed_state::live)
-            continue;
+    for (const auto& entry : selected)
         addresses.push_back(
             {{"instance", entry.id},
              {"address", entry.callers.text()},
              {"domain", entry.domain}});
-    }
     const json body{
         {"entries", std::move(addresses)},
         {"max_age_ms", state_->configured.limits.entries_max_age.count()},
--- a/instance/src/caller_api.hpp
+++ b/instance/src/caller_api.hpp
@@ -4,6 +4,9 @@
 #include "record_runner.hpp"
 #include "search_runner.hpp"
 
+#include <string>
+#include <unordered_map>
+
 namespace peridotward {
 
 /// Routes callers' requests through the filters to their handlers.
@@ -19,7 +22,10 @@
         answer_handler answer);
 
     void on_request(exchange_id exchange, http_request request);
-    void on_gone(exchange_id exchange) { searches_.caller_gone(exchange); }
+    void on_gone(exchange_id exchange);
+
+    /// \returns The number of requests whose answer is owed.
+    [[nodiscard]] std::size_t open() const noexcept { return open_.size(); }
 
     [[nodiscard]] const search_runner& searches() const noexcept
     {
@@ -31,15 +37,22 @@
         readiness_filter,
         body_filter,
         identity_filter,
-        deadline_filter>;
+        class_filter,
+        deadline_filter,
+        duplicate_filter>;
 
     [[nodiscard]] result<void> route(request_context& context);
     [[nodiscard]] result<void>
     route_record(request_context& context, std::string_view rest);
-    [[nodiscard]] http_response entries() const;
+    [[nodiscard]] http_response entries(const http_request& request) const;
+
+    /// Ends a request: forgets its id and sends its answer.
+    void finish(exchange_id exchange, http_response response);
+    void forget(exchange_id exchange);
 
     node_state* state_;
     answer_handler answer_;
+    std::unordered_map<std::uint64_t, std::string> open_; ///< Ids by exchange.
     chain filters_;
     search_runner searches_;
     record_runner records_;
--- a/instance/src/filters.cpp
+++ b/instance/src/filters.cpp
@@ -1,5 +1,8 @@
 #include "filters.hpp"
 
+#include <peridotward/config/sha256.hpp>
+
+#include <algorithm>
 #include <charconv>
 
 namespace peridotward {
@@ -88,6 +91,41 @@
     return {};
 }
 
+result<void> class_filter::apply(request_context& context) const
+{
+    const auto& trust = state->configured.trust;
+    const auto token = find_header(context.http.headers, "caller-token");
+    std::string name = trust.default_class;
+    if (!token.empty()) {
+        const auto digest = sha256_hex(token);
+        const auto known = std::find_if(
+            trust.tokens.begin(),
+            trust.tokens.end(),
+            [&](const caller_token& entry) { return entry.sha256 == digest; });
+        if (known == trust.tokens.end())
+            return fail(
+                error_kind::unauthorized, "the caller's token is not known");
+        name = known->caller_class;
+    }
+    else if (trust.require_token) {
+        return fail(error_kind::unauthorized, "header Caller-Token is missing");
+    }
+    const auto index = context.in_force->find_class(name);
+    if (index.valid())
+        context.priority = context.in_force->classes[index.position()].priority;
+    return {};
+}
+
+result<void> duplicate_filter::apply(request_context& context) const
+{
+    if (!state->running_ids.insert(context.request_id).second)
+        return fail(
+            error_kind::duplicate_request,
+            "request \"" + context.request_id + "\" is running here");
+    context.registered = true;
+    return {};
+}
+
 result<void> deadline_filter::apply(request_context& context) const
 {
     const auto wanted = wanted_deadline(context);
--- a/instance/src/filters.hpp
+++ b/instance/src/filters.hpp
@@ -2,8 +2,6 @@
 
 #include "filter_chain.hpp"
 
-#include <set>
-
 namespace peridotward {
 
 /// Refuses while the instance cannot serve, and pins the bundle.
@@ -26,6 +24,20 @@
     [[nodiscard]] result<void> apply(request_context& context) const;
 };
 
+/// Finds the caller's class from its token.
+struct class_filter
+{
+    node_state* state;
+    [[nodiscard]] result<void> apply(request_context& context) const;
+};
+
+/// Refuses a request whose id is that of a request still running here.
+struct duplicate_filter
+{
+    node_state* state;
+    [[nodiscard]] result<void> apply(request_context& context) const;
+};
+
 /// Turns the caller's deadline into a point in time.
 struct deadline_filter
 {
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -2,6 +2,7 @@
 
 #include "event_loop.hpp"
 #include "metrics.hpp"
+#include "query_trace.hpp"
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/config/bundle.hpp>
@@ -10,6 +11,7 @@
 #include <peridotward/core/snapshot_tracker.hpp>
 
 #include <string>
+#include <unordered_set>
 
 namespace peridotward {
 
@@ -20,7 +22,8 @@
         : configured{std::move(wanted)},
           loop{time},
           random{seed},
-          process{configured.instance.id + "." + std::to_string(seed)}
+          process{configured.instance.id + "." + std::to_string(seed)},
+          recent{configured.limits.recent_queries}
     {}
 
     settings configured;
@@ -31,6 +34,8 @@
     bundle_ptr in_force; ///< Null until a bundle is accepted.
     instance_list listed;
     snapshot_tracker snapshots;
+    std::unordered_set<std::string> running_ids; ///< Callers' request ids.
+    recent_queries recent;
     bool leaving = false;
 
     /// \returns Whether the instance can serve, else the reason.
--- a/instance/src/operator_api.cpp
+++ b/instance/src/operator_api.cpp
@@ -1,3 +1,4 @@
+#include "log.hpp"
 #include "operator_api.hpp"
 
 namespace peridotward {
@@ -5,34 +6,98 @@
 namespace {
 
 constexpr milliseconds retry_after{1000};
+constexpr std::string_view explain_prefix = "/v1/explain/";
+
+http_response refuse(error_kind kind, std::string message)
+{
+    return refusal({kind, std::move(message)}, "", retry_after);
+}
+
+http_response set_log_level(const http_request& request)
+{
+    const auto body = parse_json(request.body);
+    if (!body)
+        return refuse(error_kind::bad_request, body.error().message);
+    const auto name = body->is_object() ? body->value("level", json{}) : json{};
+    const auto level = name.is_string()
+                           ? from_name<log_level>(name.get<std::string>())
+                           : std::nullopt;
+    if (!level)
+        return refuse(
+            error_kind::bad_request,
+            "level: expected debug, info, warn or error, found " + name.dump());
+    change_log_level(*level);
+    log_event(
+        log_level::warn, "log_level_changed", {{"level", name_of(*level)}});
+    http_response response;
+    response.body = json{{"level", name}}.dump();
+    return response;
+}
+
+http_response readiness(const node_state& state)
+{
+    const auto reason = state.not_ready_reason();
+    http_response response;
+    response.status = reason.empty() ? 200 : 503;
+    response.body = json{{"ready", reason.empty()}, {"reason", reason}}.dump();
+    return response;
+}
 
 } // namespace
 
 http_response operator_api::on_request(const http_request& request) const
 {
     http_response response;
-    if (request.path == "/v1/state") {
-        response.body = dump().dump(2) + "\n";
+    if (request.path == "/v1/state")
+        return state_dump(request);
+    if (request.path == "/v1/health/ready")
+        return readiness(*state_);
+    if (request.path.starts_with(explain_prefix))
+        return explain(request.path.substr(explain_prefix.size()));
+    if (request.path == "/v1/log-level" && request.method == "POST")
+        return set_log_level(request);
+    if (request.path == "/v1/health/live") {
+        response.body = R"({"live":true})";
+        return response;
     }
-    else if (request.path == "/metrics") {
+    if (request.path == "/metrics") {
         response.body = state_->counted.render();
         response.content_type = "text/plain";
+        return response;
     }
-    else if (request.path == "/v1/health/live") {
-        response.body = R"({"live":true})";
-    }
-    else if (request.path == "/v1/health/ready") {
-        const auto reason = state_->not_ready_reason();
-        response.status = reason.empty() ? 200 : 503;
-        response.body =
-            json{{"ready", reason.empty()}, {"reason", reason}}.dump();
-    }
-    else {
-        response = refusal(
-            {error_kind::unknown_path, request.path + " does not exist"},
-            "",
-            retry_after);
+    return refuse(
+        error_kind::unknown_path,
+        request.method + " " + request.path + " does not exist");
+}
+
+http_response operator_api::state_dump(const http_request& request) const
+{
+    auto document = dump();
+    const std::string section{find_header(request.query, "section")};
+    if (!section.empty()) {
+        if (!document.contains(section))
+            return refuse(
+                error_kind::bad_request,
+                "section \"" + section + "\" does not exist");
+        document = json{{section, document[section]}};
     }
+    http_response response;
+    response.body = document.dump(2) + "\n";
+    return response;
+}
+
+http_response operator_api::explain(std::string_view request_id) const
+{
+    const auto* trace = state_->recent.find(request_id);
+    if (trace == nullptr)
+        return refuse(
+            error_kind::not_found,
+            "request \"" + std::string{request_id} +
+                "\" is not among the last " +
+                std::to_string(state_->configured.limits.recent_queries) +
+                " of this instance");
+    http_response response;
+    response.body = trace->to_json().dump(2) + "\n";
     return response;
 }
 
@@ -43,8 +108,10 @@
         {"domain", state_->configured.instance.domain},
         {"process", state_->process},
         {"ready", state_->not_ready_reason().empty()},
+        {"not_ready_reason", state_->not_ready_reason()},
         {"running_queries", callers_->searches().running()},
-        {"open_exchanges", state_->loop.client().running()},
+        {"open_requests", callers_->open()},
+        {"upstream_exchanges", state_->loop.client().running()},
     };
     if (state_->in_force)
         document["bundle"] = {
--- a/instance/src/operator_api.hpp
+++ b/instance/src/operator_api.hpp
@@ -15,6 +15,8 @@
     [[nodiscard]] http_response on_request(const http_request& request) const;
 
 private:
+    [[nodiscard]] http_response state_dump(const http_request& request) const;
+    [[nodiscard]] http_response explain(std::string_view request_id) const;
     [[nodiscard]] json dump() const;
 
     node_state* state_;
--- a/instance/src/request_context.hpp
+++ b/instance/src/request_context.hpp
@@ -21,6 +21,7 @@
     time_point arrived;
     time_point deadline;
     caller_priority priority = caller_priority::normal;
+    bool registered = false; ///< Whether its id stands in `running_ids`.
 };
 
 /// \returns The answer that tells a caller of `problem`.
