--- a/core/include/peridotward/core/peer_message.hpp
+++ b/core/include/peridotward/core/peer_message.hpp
@@ -190,7 +190,8 @@
 };
 
 /// \brief Asks for parts of a bundle by their digests; an empty digest list
-/// asks for the manifest of `version`.
+/// asks for the manifest of `version`, and with version 0 for the version in
+/// force at the receiver.
 struct config_fetch
 {
     std::uint64_t version = 0;
@@ -198,6 +199,9 @@
 };
 
 /// \brief Carries a manifest (empty digest) or one part.
+///
+/// \remarks Without bytes, a manifest tells that `version` is in force at the
+/// sender, and a part tells that the sender does not have it.
 struct config_part
 {
     std::uint64_t version = 0;
