--- /dev/null
+++ b/ctl/src/load_plan.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "expectation.hpp"
+
+#include <peridotward/base/endpoint.hpp>
+#include <peridotward/base/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace peridotward::ctl {
+
+/// A caller class and its share of all requests.
+struct class_share
+{
+    std::string name;
+    double share = 0; ///< In [0, 1].
+};
+
+/// Single-record requests that are mixed into the searches.
+struct record_mix
+{
+    double fetch_share = 0;  ///< Share of all requests, in [0, 1].
+    double append_share = 0; ///< Share of all requests, in [0, 1].
+    std::string fetch_service;
+    std::string append_service;
+};
+
+/// What a load run does.
+struct load_plan
+{
+    std::vector<endpoint> entries; ///< Where the run asks for entries first.
+    std::vector<expectation> searches;
+    std::vector<class_share> classes;
+    record_mix mix;
+    double rate = 100; ///< Requests a second.
+    seconds length{10};
+    milliseconds deadline{1000};
+    duration caller_delay{}; ///< One way between a caller and an instance.
+    bool retry = false;      ///< Follow retry_after_ms of refusals.
+    std::uint64_t seed = 1;
+};
+
+} // namespace peridotward::ctl
--- a/ctl/src/load_run.hpp
+++ b/ctl/src/load_run.hpp
@@ -1,50 +1,22 @@
 #pragma once
 
-#include "expectation.hpp"
+#include "entry_pool.hpp"
+#include "load_plan.hpp"
+#include "load_report.hpp"
 
-#include <peridotward/base/clock.hpp>
 #include <peridotward/base/random.hpp>
 #include <peridotward/http/http_client.hpp>
 
+#include <map>
+#include <memory>
 #include <string>
-#include <vector>
 
 namespace peridotward::ctl {
 
-/// What a load run does.
-struct load_plan
-{
-    std::vector<endpoint> entries;
-    std::vector<expectation> searches;
-    double rate = 100; ///< Searches a second.
-    seconds length{10};
-    milliseconds deadline{1000};
-    std::uint64_t seed = 1;
-};
-
-/// What a load run saw.
-struct load_report
-{
-    std::uint64_t queries = 0;
-    std::uint64_t answered = 0;
-    std::uint64_t complete = 0;
-    std::uint64_t partial = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t lost = 0; ///< Neither answered nor refused.
-    std::uint64_t wrong_answers = 0;
-    std::uint64_t attempts = 0;
-    std::uint64_t shards_needed = 0; ///< Over all answered searches.
-    double coverage_sum = 0;
-    std::vector<double> latencies_ms;
-
-    /// \returns The latency below which `share` of the answers lie.
-    [[nodiscard]] double quantile_ms(double share);
-    [[nodiscard]] json to_json();
-};
-
-/// Sends searches at planned times, whether or not earlier ones are answered,
+/// Sends requests at planned times, whether or not earlier ones are answered,
 /// and measures each from its planned time, so that a slow system does not
-/// hide its own delay (coordinated omission).
+/// hide its own delay (coordinated omission; G. Tene, "How NOT to measure
+/// latency").
 class load_run
 {
 public:
@@ -54,19 +26,54 @@
     [[nodiscard]] load_report run();
 
 private:
-    void send(time_point planned);
-    void on_answer(
-        std::size_t search,
-        time_point planned,
-        const client_response& response);
+    enum class request_sort : std::uint8_t
+    {
+        search,
+        fetch,
+        append,
+    };
+
+    /// One request of the plan, through all its tries.
+    struct planned_request
+    {
+        request_sort sort = request_sort::search;
+        std::size_t asked = 0; ///< Position in the plan's searches.
+        time_point planned;
+        std::string id;
+        std::string class_name;
+        std::uint64_t key = 0; ///< Of a fetch.
+        std::uint32_t tries = 0;
+        endpoint entry;
+    };
+    using request_ptr = std::shared_ptr<planned_request>;
+
+    [[nodiscard]] request_ptr make_request(time_point planned);
+    void send(const request_ptr& request);
+    [[nodiscard]] client_request message_for(const planned_request& request);
+    void on_end(const request_ptr& request, const client_response& response);
+    [[nodiscard]] bool
+    try_again(const request_ptr& request, const client_response& response);
+    void
+    on_refusal(const request_ptr& request, const client_response& response);
+    void
+    on_answer(const planned_request& request, const client_response& response);
+    void check_search(const planned_request& request, const json& answer);
+    void refresh_entries(time_point now);
+    void send_due(time_point now);
     void show_progress(time_point now);
+    [[nodiscard]] request_counts& counts_of(request_sort sort);
+    [[nodiscard]] std::string next_id();
+    [[nodiscard]] std::string pick_class();
 
     load_plan plan_;
     const clock* clock_;
     random_source random_;
+    entry_pool entries_;
     http_client client_;
     load_report report_;
-    std::size_t next_entry_ = 0;
+    std::multimap<time_point, request_ptr> waiting_;
+    bool asking_entries_ = false;
+    time_point start_;
     time_point next_progress_;
 };
 
--- a/ctl/src/load_verb.cpp
+++ b/ctl/src/load_verb.cpp
@@ -1,99 +1,71 @@
+#include "load_options.hpp"
 #include "load_run.hpp"
-#include "options.hpp"
+#include "scatter_run.hpp"
 #include "verb.hpp"
 
+#include <peridotward/config/settings.hpp>
+
 #include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace peridotward::ctl {
 
 namespace {
 
-constexpr std::string_view usage =
-    "usage: peridotctl load --queries FILE --entries HOST:PORT[,...]\n"
-    "                       [--rate PER_SECOND] [--seconds N]\n"
-    "                       [--deadline MS] [--seed N] [--report FILE]\n"
-    "\n"
-    "Sends the searches of FILE at random at the given rate, whether or not\n"
-    "earlier ones are answered, and checks every answer. Progress goes to\n"
-    "standard error, the JSON report to FILE or standard output. Exits with\n"
-    "1 when an answer was wrong.\n";
+exit_code complain(const error& problem)
+{
+    std::cerr << "peridotctl: " << problem.message << "\n";
+    return exit_code::input;
+}
 
-result<std::vector<endpoint>> parse_entries(const std::string& text)
+void write_report(const options& parsed, const json& report)
 {
-    std::vector<endpoint> entries;
-    std::istringstream parts{text};
-    std::string part;
-    while (std::getline(parts, part, ',')) {
-        const auto entry = parse_endpoint(part);
-        if (!entry)
-            return tl::unexpected{entry.error()};
-        entries.push_back(*entry);
-    }
-    if (entries.empty())
-        return fail(error_kind::bad_request, "--entries names no address");
-    return entries;
+    const auto text = report.dump(2) + "\n";
+    if (parsed.has("report"))
+        std::ofstream{parsed.text("report")} << text;
+    else
+        std::cout << text;
 }
 
-result<load_plan> make_plan(const options& parsed)
+exit_code run_scatter(const options& parsed, load_plan plan)
 {
-    load_plan plan;
-    auto entries = parse_entries(parsed.text("entries"));
-    if (!entries)
-        return tl::unexpected{entries.error()};
-    auto searches = load_expectations(parsed.text("queries"));
-    if (!searches)
-        return tl::unexpected{searches.error()};
-    const auto rate = parsed.number("rate", plan.rate);
-    const auto length = parsed.number("seconds", 10);
-    const auto deadline = parsed.number("deadline", 1000);
-    const auto seed = parsed.number("seed", 1);
-    if (!rate || *rate <= 0 || !length || *length < 1 || !deadline ||
-        *deadline < 1 || !seed)
-        return fail(
-            error_kind::bad_request,
-            "--rate, --seconds, --deadline: expected positive numbers");
-    plan.entries = std::move(*entries);
-    plan.searches = std::move(*searches);
-    plan.rate = *rate;
-    plan.length = seconds{static_cast<std::int64_t>(*length)};
-    plan.deadline = milliseconds{static_cast<std::int64_t>(*deadline)};
-    plan.seed = static_cast<std::uint64_t>(*seed);
-    return plan;
+    const auto defined =
+        read_file(parsed.text("scatter")).and_then([](const std::string& text) {
+            return parse_bundle(text);
+        });
+    if (!defined)
+        return complain(defined.error());
+    for (const auto& asked : plan.searches) {
+        if (!(*defined)->find_search(asked.search).valid())
+            return complain(
+                {error_kind::unknown_search,
+                 "search \"" + asked.search + "\" is not defined"});
+    }
+    const machine_clock time;
+    scatter_run driver{std::move(plan), *defined, time};
+    const auto report = driver.run();
+    write_report(parsed, report.to_json());
+    return report.failed == 0 ? exit_code::done : exit_code::failed;
 }
 
 } // namespace
 
 exit_code run_load(int argc, char** argv)
 {
-    const auto parsed = parse_options(
-        argc,
-        argv,
-        {{"queries", true},
-         {"entries", true},
-         {"rate", true},
-         {"seconds", true},
-         {"deadline", true},
-         {"seed", true},
-         {"report", true}},
-        usage);
+    const auto parsed =
+        parse_options(argc, argv, load_option_specs(), load_usage);
     if (!parsed)
         return help_was_asked() ? exit_code::done : exit_code::usage;
-    auto plan = make_plan(*parsed);
-    if (!plan) {
-        std::cerr << "peridotctl: " << plan.error().message << "\n";
-        return exit_code::input;
-    }
+    auto plan = make_load_plan(*parsed);
+    if (!plan)
+        return complain(plan.error());
+    if (parsed->has("scatter"))
+        return run_scatter(*parsed, std::move(*plan));
     const machine_clock time;
     load_run driver{std::move(*plan), time};
-    auto report = driver.run();
-    const auto text = report.to_json().dump(2) + "\n";
-    if (parsed->has("report"))
-        std::ofstream{parsed->text("report")} << text;
-    else
-        std::cout << text;
-    return report.wrong_answers == 0 ? exit_code::done : exit_code::failed;
+    const auto report = driver.run();
+    write_report(*parsed, report.to_json());
+    return report.wrong_answers() == 0 ? exit_code::done : exit_code::failed;
 }
 
 } // namespace peridotward::ctl
