--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -2,12 +2,12 @@
 
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/domain_shares.hpp>
+#include <peridotward/core/electorate.hpp>
 #include <peridotward/core/entry_id.hpp>
 #include <peridotward/core/entry_router.hpp>
 #include <peridotward/core/entry_selector.hpp>
 #include <peridotward/core/entry_window.hpp>
-#include <peridotward/core/domain_shares.hpp>
-#include <peridotward/core/electorate.hpp>
 #include <peridotward/core/fleet_timing.hpp>
 #include <peridotward/core/lease_controller.hpp>
 #include <peridotward/core/membership.hpp>
