--- a/core/include/peridotward/core/domain_shares.hpp
+++ b/core/include/peridotward/core/domain_shares.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <limits>
-#include <span>
 #include <vector>
 
 namespace peridotward {
@@ -25,22 +24,20 @@
         std::numeric_limits<std::uint32_t>::max();
 
     /// \param older The bundle that was in force before, or null.
-    /// \param settled When raised shares count.
-    void
-    on_bundle(const bundle& in_force, const bundle* older, time_point settled);
+    /// \param settle How long raised shares wait.
+    void on_bundle(
+        const bundle& in_force,
+        const bundle* older,
+        time_point now,
+        duration settle);
 
     /// \returns The share of `upstream`.
     [[nodiscard]] std::uint32_t
     of(upstream_index upstream, time_point now) const noexcept;
 
-    /// \returns The upstreams of `domain`.
-    [[nodiscard]] std::span<const upstream_index>
-    members(domain_index domain) const noexcept;
-
 private:
     std::vector<std::uint32_t> shares_;  ///< By upstream.
     std::vector<std::uint32_t> lowered_; ///< Until `settled_`, by upstream.
-    std::vector<std::vector<upstream_index>> members_; ///< By domain.
     time_point settled_;
 };
 
--- a/core/include/peridotward/core/fleet_timing.hpp
+++ b/core/include/peridotward/core/fleet_timing.hpp
@@ -27,10 +27,10 @@
     duration probe_interval = milliseconds{250};
     /// Wait for the answer to a direct probe.
     duration probe_timeout = milliseconds{100};
+    /// From a probe to the suspicion of the silent member.
+    duration probe_limit = milliseconds{400};
     /// From suspicion to death, unless the member refutes it.
-    duration suspicion_time = milliseconds{1200};
-    /// How long a dead or departed member is remembered.
-    duration dead_memory = milliseconds{30000};
+    duration suspicion_time = milliseconds{1000};
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/lease_controller.hpp
+++ b/core/include/peridotward/core/lease_controller.hpp
@@ -4,6 +4,7 @@
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/core/electorate.hpp>
+#include <peridotward/core/electorate_change.hpp>
 #include <peridotward/core/fleet_timing.hpp>
 #include <peridotward/core/membership.hpp>
 #include <peridotward/core/peer_message.hpp>
@@ -130,6 +131,12 @@
     void on_not_owner(
         upstream_index upstream, std::string_view seat, time_point now);
 
+    /// \returns The upstreams that this seat votes on; it can hold no other.
+    [[nodiscard]] const std::vector<upstream_index>& voted() const noexcept
+    {
+        return voted_;
+    }
+
     /// \returns The voters of all upstreams.
     [[nodiscard]] const electorate& voters() const noexcept { return voters_; }
 
@@ -146,27 +153,30 @@
     [[nodiscard]] std::size_t held_count(time_point now) const noexcept;
 
 private:
+    /// Grants to holders on behalf of the own seat.
     struct vote
     {
         std::string holder;
         incarnation_number incarnation = 0;
         time_point until;
         time_point closed_until; ///< No grant before.
-        time_point idle_since;   ///< End of the last grant.
     };
     struct lease
     {
         upstream_index upstream;
         std::uint8_t rank = 0;
         lease_phase phase = lease_phase::idle;
+        bool asked = false;   ///< Since the last time it was given up.
         bool refused = false; ///< Another holder was named this round.
-        std::array<time_point, max_voters> granted{}; ///< Ends by voter.
+        std::array<time_point, max_voters> granted{}; ///< Ends by rank.
+        std::uint64_t first_round = 0; ///< Older grants were given up.
         time_point valid_until;
         time_point held_since;
         time_point next_request;
         time_point better_since; ///< Since when a better rank serves.
         duration hand_back_wait{};
         vote given;
+        std::vector<electorate_change> changes; ///< Not settled yet.
     };
     struct sent_round
     {
@@ -188,37 +198,57 @@
         std::uint8_t ranks = 0; ///< Bit by rank.
         time_point until;
     };
-    using batch_map = std::map<std::uint32_t, batch>; // by seat
+    using batch_map = std::map<std::string_view, batch>; // by seat
 
     void notice_pause(time_point now);
-    void forget_all(time_point now);
     [[nodiscard]] lease* find(upstream_index upstream) noexcept;
     [[nodiscard]] const lease* find(upstream_index upstream) const noexcept;
+    [[nodiscard]] std::string_view name_of_seat(seat_index seat) const noexcept;
+    [[nodiscard]] bool serves(seat_index seat) const noexcept;
+
+    // Changes of the bundle.
+    [[nodiscard]] lease inherit(
+        const bundle& newer,
+        const voter_list& voters,
+        resource_id resource,
+        lease fresh,
+        time_point now) const;
+    [[nodiscard]] std::vector<bool> carry_serving(const bundle& newer) const;
+    void
+    hear_version(std::string_view seat, bundle_version version, time_point now);
+    static void forget_settled(lease& changed, time_point now);
+    void poll_changes(time_point now, batch_map& batches);
+
+    // Voter.
     [[nodiscard]] bool
     accept_round(std::string_view from, const lease_request& message);
-    [[nodiscard]] bool grant(
+    [[nodiscard]] bool give_vote(
         lease& asked,
         std::string_view to,
         incarnation_number incarnation,
+        bool renewal_only,
         time_point now) const;
-    static void take_back(
+    void take_back(
         lease& given,
         std::string_view from,
         incarnation_number incarnation,
         time_point now);
+
+    // Holder.
     void
     note_grant(lease& held, std::size_t rank, time_point sent, time_point now);
-    void update_wish(lease& held, time_point now);
-    void update_hand_back(lease& held, time_point now);
+    [[nodiscard]] bool counts(const lease& held, std::string_view voter) const;
+    [[nodiscard]] bool better_serves(const lease& held) const noexcept;
+    [[nodiscard]] bool is_vacant(const lease& held, time_point now) const;
     [[nodiscard]] bool should_ask(const lease& held, time_point now) const;
+    void update_hand_back(lease& held, time_point now);
+    void step(lease& held, bool busy, time_point now, batch_map& batches);
+    void step_asking(lease& held, time_point now, batch_map& batches);
+    void step_holding(lease& held, time_point now, batch_map& batches);
+    void
+    step_yielding(lease& held, bool busy, time_point now, batch_map& batches);
     void request(lease& held, time_point now, batch_map& batches);
     void give_up(lease& held, time_point now, batch_map& batches);
-    void drop(lease& held);
-    void step(
-        lease& held,
-        std::span<const std::uint32_t> busy,
-        time_point now,
-        batch_map& batches);
     void flush(batch_map& batches, time_point now, std::vector<outgoing>& out);
 
     std::string seat_;
@@ -229,7 +259,8 @@
     seat_index own_;
     electorate voters_;
     std::vector<lease> leases_; ///< Those this seat votes on, by upstream.
-    std::vector<bool> serving_; ///< By seat.
+    std::vector<upstream_index> voted_;
+    std::vector<bool> serving_;                           ///< By seat.
     std::unordered_map<std::uint32_t, refusal> refusals_; ///< By upstream.
     std::map<std::string, peer_round, std::less<>> peer_rounds_;
     std::deque<sent_round> rounds_;
@@ -237,6 +268,8 @@
     std::uint64_t members_revision_ = 0;
     time_point open_from_; ///< No vote before: start or pause.
     time_point last_call_;
+    time_point next_renewal_;
+    time_point next_poll_;
     time_point next_wakeup_;
     bool members_known_ = false;
     bool leaving_ = false;
--- a/core/include/peridotward/core/membership.hpp
+++ b/core/include/peridotward/core/membership.hpp
@@ -25,6 +25,8 @@
     bool heard = false;             ///< Whether it answered in its incarnation.
     time_point changed;             ///< When `belief` changed last.
     std::uint32_t spreads_left = 0; ///< Messages that still carry `belief`.
+    bool introduced = false;        ///< Whether it was told of this instance.
+    bool suspected_here = false;    ///< By own probes, not by hearsay.
 };
 
 /// \brief Which instances are alive, told by probes and gossip.
@@ -137,16 +139,17 @@
         const config_summary& config,
         const std::vector<member_update>& updates,
         time_point now);
-    void note_heard(std::string_view from, time_point now);
     void set_state(member& changed, member_state state, time_point now);
-    void schedule_spread(member& changed) const;
+    void schedule_spread(member& changed);
+    [[nodiscard]] std::uint32_t spread_count() const noexcept;
+    [[nodiscard]] config_summary config_for(const member* recipient) const;
+    void fail(member& silent, time_point now, std::vector<outgoing>& out);
+    void probe_extra(std::vector<outgoing>& out);
     [[nodiscard]] std::vector<member_update> take_updates(member* recipient);
     [[nodiscard]] member* next_target();
     void refill_order();
     void send_probe(
-        const member& target,
-        std::uint64_t sequence,
-        std::vector<outgoing>& out);
+        member& target, std::uint64_t sequence, std::vector<outgoing>& out);
     void start_probe(time_point now, std::vector<outgoing>& out);
     void ask_others(const open_probe& open, std::vector<outgoing>& out);
     void check_probes(time_point now, std::vector<outgoing>& out);
@@ -159,7 +162,6 @@
     fleet_timing timing_;
     random_source random_;
     member_map members_;
-    std::map<std::string, std::uint64_t, std::less<>> buried_;
     std::vector<std::string> order_; ///< Left to probe in this round.
     std::vector<open_probe> open_;
     std::vector<relayed_probe> relayed_;
--- a/core/include/peridotward/core/upstream_budgets.hpp
+++ b/core/include/peridotward/core/upstream_budgets.hpp
@@ -13,8 +13,9 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
-#include <string_view>
+#include <string>
 #include <vector>
 
 namespace peridotward {
@@ -48,9 +49,9 @@
 /// \brief Leave to send one request to one upstream.
 struct budget_grant
 {
-    upstream_index upstream;
-    upstream_index backing; ///< Whose share of the domain's limit it uses.
-    time_point latest_end;  ///< The request's deadline may not be later.
+    resource_id upstream{};
+    resource_id backing{}; ///< Whose share of the domain's limit it uses.
+    time_point latest_end; ///< The request's deadline may not be later.
 };
 
 /// \brief One upstream's budget, for the state dump.
@@ -78,6 +79,7 @@
         const lease_controller& leases, fleet_timing timing = {});
 
     /// \brief Takes a newer bundle into force; counts move along by id.
+    /// \remarks The lease controller takes it first.
     void on_bundle(bundle_ptr in_force, time_point now);
 
     /// \brief Takes in which upstreams the published list says are leaving.
@@ -139,24 +141,34 @@
         std::uint32_t connections = 0;
         time_point held_since;
         time_point next_connect;
+        time_point returned;  ///< When it was admitted again.
         bool removed = false; ///< Out in the bundle or leaving in the list.
         bool draining = false;
     };
 
     void follow_lease(upstream_index upstream, time_point now);
-    void set_removed(upstream_index upstream, time_point now);
-    void note_phase(state& changed, upstream_phase phase, time_point now);
-    [[nodiscard]] bool listed_leaving(std::string_view id) const noexcept;
+    void bring_back(upstream_index upstream, time_point now);
+    void update_removed(upstream_index upstream, time_point now);
+    void
+    note_phase(upstream_index upstream, upstream_phase phase, time_point now);
+    void note_usual(service_index index, duration elapsed, const warmth& bears);
+    void update_busy(upstream_index upstream);
+    void carry_states(const bundle& newer, const bundle& older);
+    [[nodiscard]] std::optional<budget_refusal> slot_refusal(
+        upstream_index upstream,
+        caller_priority priority,
+        bool hedge) const noexcept;
     [[nodiscard]] upstream_index
     backing_for(upstream_index upstream, time_point now) const noexcept;
-    [[nodiscard]] bool usable(upstream_index upstream) const noexcept;
+    [[nodiscard]] bool
+    has_share(upstream_index upstream, time_point now) const noexcept;
 
     const lease_controller* leases_;
     fleet_timing timing_;
     bundle_ptr in_force_;
     std::vector<state> states_; ///< By upstream.
     std::vector<std::uint32_t> busy_;
-    std::vector<duration> usual_;      ///< Time of warm answers, by service.
+    std::vector<duration> usual_;      ///< Time of an answer, by service.
     std::vector<std::string> leaving_; ///< By the list, sorted.
     domain_shares shares_;
 };
--- a/core/include/peridotward/core/warmth.hpp
+++ b/core/include/peridotward/core/warmth.hpp
@@ -74,6 +74,7 @@
     std::uint32_t borne_ = 0; ///< Answers at the present limit.
     std::uint8_t slow_ = 0;   ///< Slow answers in a row.
     std::uint8_t timeouts_ = 0;
+    bool doubted_ = false; ///< Whether a cold mark is taken as wrong.
     time_point cold_since_;
     time_point last_step_;
 };
