--- a/config/src/settings.cpp
+++ b/config/src/settings.cpp
@@ -65,6 +65,7 @@
         max_bytes,
         static_cast<std::int64_t>(peers.max_frame_bytes)));
     peers.key_file = reader.text_or("key_file", "");
+    peers.test_filter = reader.flag_or("test_filter", false);
     reader.finish();
     return peers;
 }
--- a/http/include/peridotward/http/http_client.hpp
+++ b/http/include/peridotward/http/http_client.hpp
@@ -20,6 +20,9 @@
     std::string body;
     duration timeout = seconds{1};
     bool fresh_connection = false; ///< For non-idempotent requests.
+    /// Asked right before the first byte leaves; false ends the exchange as
+    /// `not_sent`. Empty for always.
+    std::function<bool()> may_send;
 };
 
 /// \brief How far an exchange with a server came.
--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -61,6 +61,14 @@
     return line.size();
 }
 
+/// Runs when the connection is there and no byte of the request has left.
+int before_request(void* user, char*, char*, int, int)
+{
+    const auto& self = *static_cast<exchange*>(user);
+    return self.request.may_send() ? CURL_PREREQFUNC_OK
+                                   : CURL_PREREQFUNC_ABORT;
+}
+
 transport_outcome outcome_of(const exchange& ended, CURLcode code)
 {
     if (code == CURLE_OK)
@@ -138,6 +146,10 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
+    if (request.may_send) {
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
+    }
     if (request.fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/instance/src/direct_port.cpp
+++ b/instance/src/direct_port.cpp
@@ -18,7 +18,7 @@
     request.range = wanted.range;
     request.snapshot = wanted.snapshot;
     request.criteria = job.criteria;
-    request.budget = wanted.deadline - state_->loop.now();
+    request.terms.budget = wanted.deadline - state_->loop.now();
     running_.emplace(static_cast<std::uint64_t>(wanted.id), request.to);
     gateway_->search(request, [this, wanted](shard_response response) {
         running_.erase(static_cast<std::uint64_t>(wanted.id));
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -36,6 +36,7 @@
     snapshot_tracker snapshots;
     std::unordered_set<std::string> running_ids; ///< Callers' request ids.
     recent_queries recent;
+    std::string waiting_for; ///< What the fleet owes before serving.
     bool leaving = false;
 
     /// \returns Whether the instance can serve, else the reason.
@@ -45,7 +46,7 @@
             return "the instance is leaving";
         if (!in_force)
             return "no bundle is in force";
-        return {};
+        return waiting_for;
     }
 };
 
--- /dev/null
+++ b/instance/src/owner_desk.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "upstream_executor.hpp"
+
+#include <map>
+#include <string>
+
+namespace peridotward {
+
+/// Carries out what other instances hand to this one.
+class owner_desk
+{
+public:
+    owner_desk(fleet_runner& fleet, upstream_executor& executor);
+
+private:
+    struct attempt_key
+    {
+        std::string seat;
+        incarnation_number incarnation = 0;
+        std::uint64_t attempt = 0;
+        auto operator<=>(const attempt_key&) const = default;
+    };
+
+    void on_request(const peer_source& from, const sub_request& request);
+    void run(
+        const peer_source& from,
+        const sub_request& request,
+        const sub_attempt& wanted,
+        time_point deadline);
+    void on_cancel(const peer_source& from, const sub_cancel& message);
+    void
+    on_end(const peer_source& from, attempt_id id, owned_result&& result);
+    void on_record(const peer_source& from, record_request request);
+
+    fleet_runner* fleet_;
+    upstream_executor* executor_;
+    event_loop* loop_;
+    std::map<attempt_key, work_id> running_;
+};
+
+} // namespace peridotward
--- a/instance/src/upstream_gateway.cpp
+++ b/instance/src/upstream_gateway.cpp
@@ -16,10 +16,16 @@
 constexpr std::uint16_t http_unavailable = 503;
 constexpr std::uint16_t http_gateway_timeout = 504;
 
-std::string whole_milliseconds(duration value)
+/// How much sooner than this side the upstream gives up, so that its answer
+/// tells that it has and the slot is free again.
+constexpr milliseconds answer_margin{5};
+
+/// \returns The deadline for the upstream, in whole milliseconds.
+std::string deadline_text(duration budget)
 {
+    const auto told = budget - std::min<duration>(answer_margin, budget / 2);
     return std::to_string(
-        std::chrono::duration_cast<milliseconds>(value).count());
+        std::chrono::duration_cast<milliseconds>(told).count());
 }
 
 /// Reads "6-7".
@@ -103,7 +109,8 @@
     call.to = request.to;
     call.method = "POST";
     call.path = "/v1/search";
-    call.timeout = request.budget;
+    call.timeout = request.terms.budget;
+    call.may_send = request.terms.may_send;
     call.headers = {{"Content-Type", "application/json"}};
     const json id = request.id;
     const json service = request.service;
@@ -111,7 +118,7 @@
                 ",\"snapshot\":" + std::to_string(request.snapshot) +
                 ",\"range\":[" + std::to_string(request.range.first) + "," +
                 std::to_string(request.range.last) +
-                "],\"deadline_ms\":" + whole_milliseconds(request.budget) +
+                "],\"deadline_ms\":" + deadline_text(request.terms.budget) +
                 ",\"criteria\":" + request.criteria + "}";
     submit(std::move(call), std::move(done));
 }
@@ -141,15 +148,16 @@
     const endpoint& to,
     const std::string& request,
     const std::string& key,
-    duration budget,
+    send_terms terms,
     completion done)
 {
     client_request call;
     call.to = to;
     call.path = "/v1/records/" + key;
-    call.timeout = budget;
+    call.timeout = terms.budget;
+    call.may_send = std::move(terms.may_send);
     call.headers = {
-        {"request-id", request}, {"deadline-ms", whole_milliseconds(budget)}};
+        {"request-id", request}, {"deadline-ms", deadline_text(terms.budget)}};
     submit(std::move(call), std::move(done));
 }
 
@@ -157,19 +165,20 @@
     const endpoint& to,
     const std::string& request,
     const std::string& entry,
-    duration budget,
+    send_terms terms,
     completion done)
 {
     client_request call;
     call.to = to;
     call.method = "POST";
     call.path = "/v1/entries";
-    call.timeout = budget;
+    call.timeout = terms.budget;
+    call.may_send = std::move(terms.may_send);
     call.fresh_connection = true;
     call.headers = {
         {"Content-Type", "application/json"},
         {"request-id", request},
-        {"deadline-ms", whole_milliseconds(budget)}};
+        {"deadline-ms", deadline_text(terms.budget)}};
     call.body = entry;
     submit(std::move(call), std::move(done));
 }
--- a/instance/src/upstream_gateway.hpp
+++ b/instance/src/upstream_gateway.hpp
@@ -10,6 +10,14 @@
 
 namespace peridotward {
 
+/// Limits of one request to an upstream.
+struct send_terms
+{
+    duration budget{}; ///< Time until the request's deadline.
+    /// Asked right before the first byte leaves; empty for always.
+    std::function<bool()> may_send;
+};
+
 /// What an upstream is asked for one attempt of a search.
 struct shard_request
 {
@@ -19,7 +27,7 @@
     key_range range;
     snapshot_id snapshot = 0;
     std::string criteria; ///< JSON text.
-    duration budget{};    ///< Time until the attempt's deadline.
+    send_terms terms;
 };
 
 /// What came back; `body` is unchecked.
@@ -54,7 +62,7 @@
         const endpoint& to,
         const std::string& request,
         const std::string& key,
-        duration budget,
+        send_terms terms,
         completion done);
 
     /// Appends one entry, on a fresh connection and never twice.
@@ -62,7 +70,7 @@
         const endpoint& to,
         const std::string& request,
         const std::string& entry,
-        duration budget,
+        send_terms terms,
         completion done);
 
 private:
