--- a/core/include/peridotward/core/domain_shares.hpp
+++ b/core/include/peridotward/core/domain_shares.hpp
@@ -11,11 +11,13 @@
 
 /// \brief Divides each failure domain's limit among its upstreams.
 ///
-/// \remarks Shares follow the slots of the upstreams that operators admit and
-/// add up to the limit exactly. One instance at a time holds an upstream and
-/// with it the share, so the sum over all instances stays under the limit. A
-/// share that a newer bundle raises keeps its old value until others, which
-/// may still use the older bundle, had time to follow.
+/// \remarks Shares follow the slots of all upstreams of the domain, also of
+/// those that are out, and add up to the limit exactly; so taking an upstream
+/// out changes no share, and its holder may lend its share to others. One
+/// instance at a time holds an upstream and with it the share, so the sum
+/// over all instances stays under the limit. A share that a newer bundle
+/// raises keeps its old value until others, which may still use the older
+/// bundle, had time to follow.
 class domain_shares
 {
 public:
--- a/core/include/peridotward/core/upstream_budgets.hpp
+++ b/core/include/peridotward/core/upstream_budgets.hpp
@@ -93,7 +93,11 @@
         time_point now);
 
     /// \brief Ends what `try_begin` granted; to be called exactly once for
-    /// each grant, `latest_end` at the latest.
+    /// each grant.
+    ///
+    /// \remarks A request that ends without the upstream's answer, by timeout
+    /// or a broken connection, may still run there: call this no earlier than
+    /// the request's deadline plus `fleet_timing::lease_margin`.
     void on_end(
         const budget_grant& granted,
         attempt_outcome outcome,
--- a/core/src/domain_shares.cpp
+++ b/core/src/domain_shares.cpp
@@ -14,10 +14,7 @@
     const auto domains = in_force.domains.size();
     std::vector<std::uint64_t> total(domains, 0);
     const auto slots_of = [&](std::uint32_t i) -> std::uint64_t {
-        const upstream_index index{i};
-        if (!in_force.admits(index))
-            return 0;
-        return in_force.service_of(index).slots;
+        return in_force.service_of(upstream_index{i}).slots;
     };
     const auto count = static_cast<std::uint32_t>(in_force.upstreams.size());
     for (std::uint32_t i = 0; i < count; ++i)
@@ -29,10 +26,8 @@
         const std::uint64_t limit = in_force.domains[domain].max_in_flight;
         if (limit == 0)
             continue;
-        if (total[domain] == 0) {
-            shares[i] = 0;
+        if (total[domain] == 0)
             continue;
-        }
         const auto before = limit * so_far[domain] / total[domain];
         so_far[domain] += slots_of(i);
         const auto after = limit * so_far[domain] / total[domain];
--- a/core/src/lease_holder.cpp
+++ b/core/src/lease_holder.cpp
@@ -56,7 +56,7 @@
     const auto end = sent + timing_.lease_term - timing_.lease_margin;
     held.granted[rank] = std::max(held.granted[rank], end);
     auto ends = held.granted;
-    std::sort(ends.begin(), ends.begin() + voters.count, std::greater<>{});
+    std::sort(ends.begin(), ends.end(), std::greater<>{});
     const auto valid_until = ends[voters.majority() - 1];
     if (valid_until <= now)
         return;
