Bundle in parts, sign-off, diff and peridotctl bundle verbs

Change: manifest, lists of parts and parts cut at content-defined ends; Ed25519 signatures by OpenSSL over the manifest; diff in words with warnings; peridotctl bundle check, digest, diff, build, keygen, sign, verify; the config_store controller, not wired yet.

--- /dev/null
+++ b/config/tests/sign_off_test.cpp
@@ -0,0 +1,78 @@
+#include <peridotward/config/sign_off.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace peridotward;
+
+namespace {
+
+manifest sample_manifest()
+{
+    manifest root;
+    root.version = 7;
+    root.deployment = "pwani";
+    root.digest = std::string(64, 'a');
+    root.parts = {{"services/certify-0", std::string(64, 'b'), 12}};
+    return root;
+}
+
+} // namespace
+
+TEST_CASE("sign-off - as many approvers as required")
+{
+    const auto first = make_key_pair().value();
+    const auto second = make_key_pair().value();
+    sign_off_policy policy;
+    policy.required = 2;
+    policy.approvers = {
+        parse_approver_key(first.open).value(),
+        parse_approver_key(second.open).value()};
+    auto root = sample_manifest();
+    REQUIRE(sign_manifest(root, first.secret));
+    REQUIRE(sign_manifest(root, first.secret));
+    CHECK(root.signatures.size() == 1);
+    CHECK(
+        check_sign_off(root, policy).error().kind ==
+        error_kind::signature_invalid);
+    REQUIRE(sign_manifest(root, second.secret));
+    CHECK(check_sign_off(root, policy));
+
+    SECTION("the same signature twice counts once")
+    {
+        root.signatures[1] = root.signatures[0];
+        CHECK_FALSE(check_sign_off(root, policy));
+    }
+    SECTION("a changed version, digest or part is not signed")
+    {
+        auto changed = root;
+        ++changed.version;
+        CHECK_FALSE(check_sign_off(changed, policy));
+        changed = root;
+        changed.digest[0] = 'c';
+        CHECK_FALSE(check_sign_off(changed, policy));
+        changed = root;
+        changed.parts[0].digest[5] = 'c';
+        CHECK_FALSE(check_sign_off(changed, policy));
+    }
+    SECTION("a key that is no approver's does not count")
+    {
+        policy.approvers.pop_back();
+        CHECK_FALSE(check_sign_off(root, policy));
+    }
+    SECTION("signatures survive the text form")
+    {
+        const auto read = parse_manifest(manifest_text(root)).value();
+        CHECK(check_sign_off(read, policy));
+    }
+}
+
+TEST_CASE("sign-off - unusable keys are refused")
+{
+    CHECK_FALSE(parse_approver_key(""));
+    CHECK_FALSE(parse_approver_key("-----BEGIN PUBLIC KEY-----\n"));
+    const auto pair = make_key_pair().value();
+    CHECK_FALSE(parse_approver_key(pair.secret));
+    auto root = sample_manifest();
+    CHECK_FALSE(sign_manifest(root, pair.open));
+    CHECK(root.signatures.empty());
+}
--- a/core/include/peridotward/core/config_store.hpp
+++ b/core/include/peridotward/core/config_store.hpp
@@ -22,15 +22,16 @@
     std::string self; ///< Seat of this instance.
     sign_off_policy sign_off;
     std::size_t watchers = 3;           ///< Live seats that keep a watch.
-    std::size_t fanout = 4;             ///< Peers told of a new version.
+    std::size_t fanout = 6;             ///< Peers told of a new version.
     std::size_t asked_peers = 16;       ///< Most peers asked after a start.
     std::size_t batch = 32;             ///< Most parts asked for at once.
     duration retry = milliseconds{500}; ///< After a failed read.
     duration fetch_timeout = milliseconds{400};
-    duration watch_check = seconds{5}; ///< Own read of a watcher.
-    duration slow_read = seconds{60};  ///< Own read of the others.
-    duration join_wait = seconds{3};   ///< Longest wait for peers.
-    duration pause_gap = seconds{1};   ///< A longer gap is a pause.
+    duration watch_check = seconds{5};       ///< Own read of a watcher.
+    duration slow_read = seconds{60};        ///< Own read of the others.
+    duration join_wait = seconds{3};         ///< Longest wait for peers.
+    duration drain_wait = milliseconds{200}; ///< For messages sent earlier.
+    duration pause_gap = seconds{1};         ///< A longer gap is a pause.
 };
 
 /// \brief Counts since the start, for metrics and the dump.
@@ -59,10 +60,16 @@
 class config_store
 {
 public:
+    /// \brief Name of the configuration service in refusals.
+    static constexpr std::string_view service_source = "service";
+
     config_store(
         config_store_options options, time_point now, std::uint64_t seed);
 
     /// \brief Tells which other seats are believed alive.
+    ///
+    /// \remarks Before the first call the store takes itself for the only
+    /// instance: it settles with its first bundle and keeps a watch.
     void set_live(std::vector<std::string> seats);
 
     [[nodiscard]] config_actions on_tick(time_point now);
@@ -90,15 +97,21 @@
     /// \returns What probes carry; the list version is left to the caller.
     [[nodiscard]] config_summary summary() const;
 
-    /// \returns Whether new work may be taken and sent. False after a start
-    /// or a pause until enough peers were heard.
-    [[nodiscard]] bool settled() const noexcept { return settled_; }
+    /// \returns Whether new work may be taken and sent at `now`. False after
+    /// a start or a pause until enough peers were heard.
+    [[nodiscard]] bool settled(time_point now) const noexcept
+    {
+        return settled_ && now - last_input_ <= options_.pause_gap;
+    }
 
     /// \returns Why it is not settled, or an empty text.
-    [[nodiscard]] std::string waiting_for() const;
+    [[nodiscard]] std::string waiting_for(time_point now) const;
 
     /// \returns Whether this instance keeps a watch.
-    [[nodiscard]] bool watches() const;
+    [[nodiscard]] bool watches() const noexcept
+    {
+        return rank_ < options_.watchers;
+    }
 
     [[nodiscard]] const config_counters& counters() const noexcept
     {
@@ -112,31 +125,48 @@
     }
 
 private:
+    /// What is known of one peer.
+    struct peer_view
+    {
+        config_summary summary;
+        bool heard = false; ///< Since the start or the last pause.
+    };
+
     /// A newer manifest whose parts are being collected.
     struct candidate
     {
         manifest root;
         std::string text;
-        std::string source;          ///< Seat, or empty for the service.
-        std::set<std::string> asked; ///< Digests of the batch in flight.
+        std::string source;                    ///< Seat, or `service_source`.
+        std::map<std::string, part_ref> asked; ///< In flight, by digest.
         time_point asked_at;
         std::uint32_t attempts = 0;
     };
 
-    void resume(time_point now, config_actions& actions);
+    void observe(time_point now);
     void ask_peers(time_point now, config_actions& actions);
+    void note_peer(
+        const std::string& from, const config_summary& theirs, time_point now);
     void settle_if_heard(time_point now);
+    [[nodiscard]] std::size_t heard_peers() const;
     [[nodiscard]] std::size_t enough_peers() const;
-    [[nodiscard]] bool peer_is_ahead() const;
+    [[nodiscard]] bundle_version newest_heard() const;
+    [[nodiscard]] bundle_version newest_here() const;
 
     void read_service(time_point now, config_actions& actions);
     [[nodiscard]] duration read_interval();
-    void end_of_manifest_read(
+    void end_value_read(
+        const config_read& read,
+        const config_read_result& ended,
+        time_point now,
+        config_actions& actions);
+    void end_part_read(
         const config_read& read,
         config_read_result& ended,
         time_point now,
         config_actions& actions);
     void fetch_manifest(time_point now, config_actions& actions);
+    [[nodiscard]] bool usable(const config_summary& theirs) const;
 
     void consider(
         const std::string& text,
@@ -145,42 +175,48 @@
         config_actions& actions);
     [[nodiscard]] result<void> admissible(const manifest& root) const;
     void advance(time_point now, config_actions& actions);
+    void
+    drop_candidate(const error& problem, bool forever, config_actions& actions);
     void ask_for_parts(
         const std::vector<part_ref>& missing,
         time_point now,
         config_actions& actions);
     void take_part(
         std::string bytes,
-        std::string_view digest,
+        const std::string& digest,
         time_point now,
         config_actions& actions);
-    void apply(time_point now, config_actions& actions);
+    void apply(config_actions& actions);
     void announce(config_actions& actions);
     void change_source();
 
     void
     send(const std::string& to, peer_message message, config_actions& actions);
     void refuse(
-        error problem,
+        const error& problem,
         bundle_version version,
-        std::string_view source,
+        const std::string& source,
         config_actions& actions);
     [[nodiscard]] std::vector<std::string> pick_peers(std::size_t count);
 
     config_store_options options_;
     random_source random_;
     std::vector<std::string> live_; ///< Other seats, sorted.
+    bool linked_ = false;           ///< Whether `set_live` was called.
+    std::size_t rank_ = 0;          ///< Of this seat among the live ones.
 
     bundle_ptr in_force_;
-    std::string manifest_; ///< Text of the one in force.
+    manifest root_;        ///< Of the bundle in force.
+    std::string manifest_; ///< Its text.
     part_map parts_;       ///< Of the one in force and the candidate.
     std::optional<candidate> candidate_;
-    std::set<std::string> unusable_; ///< Digests of refused bundles.
+    std::map<bundle_version, std::string> unusable_; ///< Refused digests.
 
     bool settled_ = false;
     time_point woke_;
-    time_point last_tick_;
-    std::map<std::string, config_summary, std::less<>> heard_;
+    time_point heard_after_; ///< Earlier messages may be older than a pause.
+    time_point last_input_;
+    std::map<std::string, peer_view, std::less<>> peers_;
 
     bool reading_ = false;
     bool watching_ = false;
--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -2,6 +2,8 @@
 
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/config_read.hpp>
+#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/peer_message.hpp>
 #include <peridotward/core/query.hpp>
 #include <peridotward/core/query_plan.hpp>
--- /dev/null
+++ b/ctl/src/bundle_keys.cpp
@@ -0,0 +1,110 @@
+#include "bundle_commands.hpp"
+
+#include <peridotward/config/settings.hpp>
+#include <peridotward/config/sign_off.hpp>
+
+#include <filesystem>
+#include <iostream>
+
+namespace peridotward::ctl {
+
+namespace {
+
+result<manifest> load_manifest(const std::string& path)
+{
+    return read_file(path)
+        .and_then([](const std::string& text) { return parse_manifest(text); })
+        .map_error([&](const error& cause) {
+            return error{cause.kind, path + ": " + cause.message};
+        });
+}
+
+/// Writes a secret that only its owner may read.
+result<void> write_secret(const std::string& path, const std::string& bytes)
+{
+    namespace fs = std::filesystem;
+    return write_file(path, "").and_then([&]() -> result<void> {
+        std::error_code failure;
+        fs::permissions(
+            path, fs::perms::owner_read | fs::perms::owner_write, failure);
+        if (failure)
+            return fail(
+                error_kind::io_failed,
+                "file \"" + path + "\" cannot be kept from others");
+        return write_file(path, bytes);
+    });
+}
+
+} // namespace
+
+exit_code make_keys(const command_words& words)
+{
+    for (const auto& path : words) {
+        if (std::filesystem::exists(path))
+            return print_failure(
+                {error_kind::io_failed, "file \"" + path + "\" exists"});
+    }
+    const auto pair = make_key_pair();
+    if (!pair)
+        return print_failure(pair.error());
+    const auto written = write_secret(words[0], pair->secret).and_then([&] {
+        return write_file(words[1], pair->open);
+    });
+    if (!written)
+        return print_failure(written.error());
+    const auto key = parse_approver_key(pair->open);
+    std::cout << words[1] << ": key " << key.value().id << "\n";
+    return exit_code::done;
+}
+
+exit_code sign_file(const command_words& words)
+{
+    auto root = load_manifest(words[0]);
+    if (!root)
+        return print_failure(root.error());
+    const auto secret = read_file(words[1]);
+    if (!secret)
+        return print_failure(secret.error());
+    const auto key = sign_manifest(*root, *secret);
+    if (!key)
+        return print_failure(
+            {key.error().kind, words[1] + ": " + key.error().message});
+    if (const auto done = write_file(words[0], manifest_text(*root)); !done)
+        return print_failure(done.error());
+    std::cout << words[0] << ": version " << root->version << " signed by key "
+              << *key << ", " << root->signatures.size() << " signatures\n";
+    return exit_code::done;
+}
+
+exit_code verify_file(const command_words& words)
+{
+    const auto root = load_manifest(words[0]);
+    if (!root)
+        return print_failure(root.error());
+    sign_off_settings wanted;
+    wanted.key_files.assign(words.begin() + 2, words.end());
+    for (std::uint32_t count = 1; count <= wanted.key_files.size(); ++count) {
+        if (words[1] == std::to_string(count))
+            wanted.required = count;
+    }
+    if (wanted.required == 0)
+        return print_failure(
+            {error_kind::config_invalid,
+             "REQUIRED: expected 1.." +
+                 std::to_string(wanted.key_files.size()) + ", found " +
+                 words[1]});
+    const auto policy = load_sign_off(wanted);
+    if (!policy)
+        return print_failure(policy.error());
+    const auto checked = check_sign_off(*root, *policy);
+    if (!checked) {
+        std::cerr << "peridotctl: " << words[0] << ": "
+                  << checked.error().message << "\n";
+        return exit_code::failed;
+    }
+    std::cout << words[0] << ": version " << root->version
+              << " is signed off\n";
+    return exit_code::done;
+}
+
+} // namespace peridotward::ctl
--- a/ctl/src/bundle_verbs.cpp
+++ b/ctl/src/bundle_verbs.cpp
@@ -1,10 +1,9 @@
+#include "bundle_commands.hpp"
 #include "options.hpp"
-#include "verb.hpp"
-
-#include <peridotward/config/bundle.hpp>
-#include <peridotward/config/settings.hpp>
 
+#include <array>
 #include <iostream>
+#include <limits>
 
 namespace peridotward::ctl {
 
@@ -13,46 +12,67 @@
 constexpr std::string_view usage =
     "usage: peridotctl bundle check FILE\n"
     "       peridotctl bundle digest FILE\n"
+    "       peridotctl bundle diff BEFORE AFTER\n"
+    "       peridotctl bundle build FILE NAME FOLDER\n"
+    "       peridotctl bundle keygen SECRET_FILE PUBLIC_FILE\n"
+    "       peridotctl bundle sign MANIFEST SECRET_FILE\n"
+    "       peridotctl bundle verify MANIFEST REQUIRED PUBLIC_FILE...\n"
     "\n"
     "check   reads a bundle and says what is wrong with it\n"
-    "digest  prints the SHA-256 of its canonical form\n";
+    "digest  prints the SHA-256 of its canonical form\n"
+    "diff    says in words what changes, with warnings; exit code 1 on one\n"
+    "build   writes the manifest NAME and the parts NAME.DIGEST to publish\n"
+    "keygen  makes an approver's key pair\n"
+    "sign    adds a signature to a manifest\n"
+    "verify  checks that REQUIRED of the approvers signed a manifest\n"
+    "\n"
+    "FILE is a bundle in JSON with comments, or a manifest beside its parts.\n";
+
+constexpr std::size_t no_limit = std::numeric_limits<std::size_t>::max();
 
-result<bundle_ptr> load_bundle(const std::string& path)
+struct command
 {
-    return read_file(path)
-        .and_then([](const std::string& text) { return parse_bundle(text); })
-        .map_error([&](const error& cause) {
-            return error{cause.kind, path + ": " + cause.message};
-        });
-}
+    std::string_view name;
+    std::size_t fewest;
+    std::size_t most;
+    exit_code (*run)(const command_words& words);
+};
+
+constexpr std::array commands{
+    command{"check", 1, 1, check_bundle},
+    command{"digest", 1, 1, print_digest},
+    command{"diff", 2, 2, print_diff},
+    command{"build", 3, 3, build_files},
+    command{"keygen", 2, 2, make_keys},
+    command{"sign", 2, 2, sign_file},
+    command{"verify", 3, no_limit, verify_file},
+};
 
 } // namespace
 
+exit_code print_failure(const error& problem)
+{
+    std::cerr << "peridotctl: " << problem.message << "\n";
+    return exit_code::input;
+}
+
 exit_code run_bundle(int argc, char** argv)
 {
     const auto parsed = parse_options(argc, argv, {}, usage);
     if (!parsed)
         return help_was_asked() ? exit_code::done : exit_code::usage;
-    const auto& words = parsed->words();
-    if (words.size() != 2 || (words[0] != "check" && words[0] != "digest")) {
-        std::cerr << usage;
-        return exit_code::usage;
-    }
-    const auto loaded = load_bundle(words[1]);
-    if (!loaded) {
-        std::cerr << "peridotctl: " << loaded.error().message << "\n";
-        return exit_code::input;
+    auto words = parsed->words();
+    if (!words.empty()) {
+        const auto name = words.front();
+        words.erase(words.begin());
+        for (const auto& entry : commands) {
+            if (entry.name == name && words.size() >= entry.fewest &&
+                words.size() <= entry.most)
+                return entry.run(words);
+        }
     }
-    const auto& bundle = **loaded;
-    if (words[0] == "digest")
-        std::cout << bundle.digest << "\n";
-    else
-        std::cout << words[1] << ": valid, version " << bundle.version << ", "
-                  << bundle.searches.size() << " searches, "
-                  << bundle.services.size() << " services, "
-                  << bundle.upstreams.size() << " upstreams, "
-                  << bundle.seats.size() << " seats\n";
-    return exit_code::done;
+    std::cerr << usage;
+    return exit_code::usage;
 }
 
 } // namespace peridotward::ctl
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -9,7 +9,10 @@
 using peridotward::ctl::verb;
 
 constexpr std::array verbs{
-    verb{"bundle", "check, digest", peridotward::ctl::run_bundle},
+    verb{
+        "bundle",
+        "check, compare, build and sign bundles",
+        peridotward::ctl::run_bundle},
     verb{"query", "run one search", peridotward::ctl::run_query},
     verb{
         "entries",
