--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -2,6 +2,8 @@
 
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/config_read.hpp>
+#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/domain_shares.hpp>
 #include <peridotward/core/electorate.hpp>
 #include <peridotward/core/entry_id.hpp>
