--- a/ctl/src/load_options.cpp
+++ b/ctl/src/load_options.cpp
@@ -101,6 +101,28 @@
     return *value;
 }
 
+/// Reads "SECOND=RATE,...".
+result<std::vector<rate_step>> parse_steps(const std::string& text)
+{
+    std::vector<rate_step> steps;
+    for (const auto& part : split(text)) {
+        char* end = nullptr;
+        const double from = std::strtod(part.c_str(), &end);
+        double rate = 0;
+        if (*end == '=')
+            rate = std::strtod(end + 1, &end);
+        if (rate <= 0 || from < 0 || *end != '\0')
+            return fail(
+                error_kind::bad_request,
+                "--steps: expected SECOND=RATE, found \"" + part + "\"");
+        steps.push_back(
+            {std::chrono::duration_cast<duration>(
+                 std::chrono::duration<double>{from}),
+             rate});
+    }
+    return steps;
+}
+
 result<void> read_numbers(const options& parsed, load_plan& plan)
 {
     const auto rate = positive(parsed, "rate", plan.rate);
@@ -133,6 +155,7 @@
         {"queries", true},
         {"entries", true},
         {"rate", true},
+        {"steps", true},
         {"seconds", true},
         {"deadline", true},
         {"caller-delay", true},
@@ -158,6 +181,10 @@
     auto mix = parse_mix(parsed.text("mix"));
     if (!mix)
         return tl::unexpected{mix.error()};
+    auto steps = parse_steps(parsed.text("steps"));
+    if (!steps)
+        return tl::unexpected{steps.error()};
+    plan.steps = std::move(*steps);
     plan.searches = std::move(*searches);
     plan.classes = std::move(*classes);
     plan.mix = std::move(*mix);
--- a/ctl/src/load_options.hpp
+++ b/ctl/src/load_options.hpp
@@ -13,6 +13,7 @@
 inline constexpr std::string_view load_usage =
     "usage: peridotctl load --queries FILE --entries HOST:PORT[,...]\n"
     "                       [--rate PER_SECOND] [--seconds N]\n"
+    "                       [--steps SECOND=RATE[,...]]\n"
     "                       [--deadline MS] [--caller-delay MS] [--retry]\n"
     "                       [--classes NAME=SHARE[,...]]\n"
     "                       [--mix fetch:SERVICE=SHARE,append:SERVICE=SHARE]\n"
@@ -23,6 +24,7 @@
     "GET /v1/entries of any of --entries and are asked for again when their\n"
     "age is reached; a request whose connection fails goes to another one.\n"
     "\n"
+    "--steps         other rates from given seconds of the run on\n"
     "--caller-delay  one-way delay between caller and instance, added twice\n"
     "                to each latency\n"
     "--retry         send a refused request again after retry_after_ms when\n"
--- a/ctl/src/load_plan.hpp
+++ b/ctl/src/load_plan.hpp
@@ -27,6 +27,13 @@
     std::string append_service;
 };
 
+/// A rate that holds from some time of the run on.
+struct rate_step
+{
+    duration from{};
+    double rate = 0; ///< Requests a second.
+};
+
 /// What a load run does.
 struct load_plan
 {
@@ -34,7 +41,8 @@
     std::vector<expectation> searches;
     std::vector<class_share> classes;
     record_mix mix;
-    double rate = 100; ///< Requests a second.
+    double rate = 100; ///< Requests a second, until the first step.
+    std::vector<rate_step> steps;
     seconds length{10};
     milliseconds deadline{1000};
     duration caller_delay{}; ///< One way between a caller and an instance.
--- a/ctl/src/load_run.cpp
+++ b/ctl/src/load_run.cpp
@@ -44,7 +44,8 @@
         refresh_entries(now);
         while (planned <= now && planned < end) {
             send(make_request(planned));
-            const double gap = -std::log(1.0 - random_.unit()) / plan_.rate;
+            const double gap =
+                -std::log(1.0 - random_.unit()) / rate_at(planned - start_);
             planned += nanoseconds{static_cast<std::int64_t>(gap * 1e9)};
         }
         send_due(now);
@@ -57,6 +58,16 @@
     return std::move(report_);
 }
 
+double load_run::rate_at(duration offset) const noexcept
+{
+    double rate = plan_.rate;
+    for (const auto& step : plan_.steps) {
+        if (offset >= step.from)
+            rate = step.rate;
+    }
+    return rate;
+}
+
 void load_run::refresh_entries(time_point now)
 {
     if (asking_entries_ || !entries_.expired(now))
--- a/ctl/src/load_run.hpp
+++ b/ctl/src/load_run.hpp
@@ -58,6 +58,7 @@
     void
     on_answer(const planned_request& request, const client_response& response);
     void check_search(const planned_request& request, const json& answer);
+    [[nodiscard]] double rate_at(duration offset) const noexcept;
     void refresh_entries(time_point now);
     void send_due(time_point now);
     void show_progress(time_point now);
--- /dev/null
+++ b/tests/report/run_figures.cpp
@@ -0,0 +1,84 @@
+#include "run_figures.hpp"
+
+#include <peridotward/config/settings.hpp>
+
+#include <array>
+#include <stdexcept>
+
+namespace peridotward::testing {
+
+namespace {
+
+constexpr std::array upstream_counters{
+    "bear_limit_violations",
+    "slot_overruns",
+    "connection_overruns",
+    "forbidden_requests",
+    "foreign_ranges",
+    "shed",
+    "cancelled"};
+
+constexpr std::array must_be_zero{
+    "wrong_answers",
+    "doubled_runs",
+    "bear_limit_violations",
+    "slot_overruns",
+    "connection_overruns",
+    "domain_overruns",
+    "forbidden_requests",
+    "refused_but_ran",
+    "stored_but_missing",
+    "lost"};
+
+std::uint64_t sum_of(const json& members, const char* counter)
+{
+    std::uint64_t sum = 0;
+    for (const auto& entry : members)
+        sum += entry.at(counter).get<std::uint64_t>();
+    return sum;
+}
+
+} // namespace
+
+json load_json(const std::string& path)
+{
+    const auto text = read_file(path);
+    if (!text)
+        throw std::runtime_error{text.error().message};
+    return json::parse(*text);
+}
+
+std::uint64_t total(const json& ledger, const char* counter)
+{
+    return sum_of(ledger.at("upstreams"), counter);
+}
+
+json join_figures(const json& load, const json& ledger, const json& ran)
+{
+    auto figures = load;
+    figures.erase("not_run_ids");
+    figures.erase("stored_ids");
+    const auto needed = load.at("shards_needed").get<double>();
+    const auto reached = total(ledger, "requests");
+    figures["upstream_requests"] = reached;
+    figures["extra_load_ratio"] =
+        needed == 0 ? 0.0 : (static_cast<double>(reached) - needed) / needed;
+    figures["doubled_runs"] = sum_of(ledger.at("services"), "doubled_runs");
+    figures["domain_overruns"] = sum_of(ledger.at("domains"), "overruns");
+    for (const char* counter : upstream_counters)
+        figures[counter] = total(ledger, counter);
+    figures.update(ran);
+    return figures;
+}
+
+std::vector<std::string> broken_promises(const json& figures)
+{
+    std::vector<std::string> broken;
+    for (const char* counter : must_be_zero) {
+        if (figures.at(counter) != 0)
+            broken.emplace_back(counter);
+    }
+    return broken;
+}
+
+} // namespace peridotward::testing
--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -1,5 +1,6 @@
 #include "http_standin.hpp"
 
+#include <array>
 #include <chrono>
 #include <sstream>
 
@@ -36,6 +37,21 @@
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
+    /// Reads the first request once the connection is set up.
+    void start(std::chrono::nanoseconds cost)
+    {
+        if (cost == std::chrono::nanoseconds{}) {
+            read();
+            return;
+        }
+        timer_.expires_after(cost);
+        auto self = shared_from_this();
+        timer_.async_wait([self](error_code code) {
+            if (!code)
+                self->read();
+        });
+    }
+
     void read()
     {
         parser_.emplace();
@@ -51,6 +67,11 @@
 private:
     void handle()
     {
+        if (close_on_next_) {
+            error_code ignored;
+            socket_.close(ignored);
+            return;
+        }
         keep_alive_ = parser_->get().keep_alive();
         auto self = shared_from_this();
         hooks_->on_request(
@@ -62,14 +83,17 @@
 
     void answer(standin_response response, wire_fault fault)
     {
-        if (fault.reset) {
-            error_code ignored;
-            socket_.set_option(net::socket_base::linger{true, 0}, ignored);
-            socket_.close(ignored);
+        if (fault.reset || fault.half_close || fault.hang) {
+            leave_unanswered(fault);
             return;
         }
+        close_on_next_ = fault.close;
         response.keep_alive(keep_alive_);
         response.prepare_payload();
+        if (fault.cut_at >= 1.0 && !fault.drip) {
+            write_whole(std::move(response));
+            return;
+        }
         bytes_ = to_bytes(response);
         if (fault.cut_at < 1.0) {
             const auto whole = static_cast<double>(bytes_.size());
@@ -82,6 +106,44 @@
             write();
     }
 
+    void leave_unanswered(wire_fault fault)
+    {
+        error_code ignored;
+        if (fault.reset) {
+            socket_.set_option(net::socket_base::linger{true, 0}, ignored);
+            socket_.close(ignored);
+            return;
+        }
+        if (fault.half_close)
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+        wait_for_close();
+    }
+
+    /// Reads on, without an answer, until the other side closes.
+    void wait_for_close()
+    {
+        auto self = shared_from_this();
+        socket_.async_wait(tcp::socket::wait_read, [self](error_code code) {
+            std::array<char, 4096> bytes{};
+            error_code ended;
+            if (!code)
+                self->socket_.read_some(net::buffer(bytes), ended);
+            if (!code && !ended)
+                self->wait_for_close();
+        });
+    }
+
+    void write_whole(standin_response response)
+    {
+        response_ = std::move(response);
+        auto self = shared_from_this();
+        beast_http::async_write(
+            socket_, response_, [self](error_code code, std::size_t) {
+                if (!code && self->keep_alive_)
+                    self->read();
+            });
+    }
+
     void write()
     {
         auto self = shared_from_this();
@@ -112,8 +174,10 @@
     boost::beast::flat_buffer buffer_;
     boost::optional<beast_http::request_parser<beast_http::string_body>>
         parser_;
+    standin_response response_;
     std::string bytes_;
     bool keep_alive_ = true;
+    bool close_on_next_ = false;
 };
 
 namespace {
@@ -133,7 +197,7 @@
             error_code ignored;
             socket.set_option(tcp::no_delay{true}, ignored);
             std::make_shared<connection>(std::move(socket), self->hooks)
-                ->read();
+                ->start(self->hooks->connect_cost());
         }
         accept_next(self);
     });
--- a/tests/standins/http_standin.hpp
+++ b/tests/standins/http_standin.hpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,8 +21,13 @@
 struct wire_fault
 {
     double cut_at = 1.0; ///< Share of the bytes that is sent before a close.
-    bool reset = false;  ///< Close without an answer.
-    bool drip = false;   ///< One byte each 20 ms.
+    bool reset = false;  ///< Reset the connection without an answer.
+    bool half_close =
+        false;          ///< Stop sending, without an answer; go on reading.
+    bool hang = false;  ///< Keep the connection open and never answer.
+    bool close = false; ///< Answer as if the connection were kept, then
+                        ///< close it when the next request arrives.
+    bool drip = false;  ///< One byte each 20 ms.
 };
 
 class connection;
@@ -32,6 +38,10 @@
 {
     /// Returns whether the connection is accepted.
     std::function<bool()> on_connect = [] { return true; };
+    /// Returns how long a new connection takes before its first request.
+    std::function<std::chrono::nanoseconds()> connect_cost = [] {
+        return std::chrono::nanoseconds{};
+    };
     std::function<void()> on_disconnect = [] {};
     std::function<void(standin_request, respond)> on_request;
 };
--- /dev/null
+++ b/tests/standins/upstream_park.cpp
@@ -0,0 +1,173 @@
+#include "run_after.hpp"
+#include "upstream_park.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace peridotward::testing {
+
+namespace {
+
+constexpr std::uint64_t record_seed = 1;
+constexpr std::size_t record_count = 250'000;
+
+} // namespace
+
+upstream_park::upstream_park(net::io_context& context, bundle_ptr defined)
+    : context_{&context},
+      records_{
+          defined->deployment,
+          record_seed,
+          defined->maps.front().key_space,
+          record_count}
+{
+    shared_.records = &records_;
+    shared_.defined = std::move(defined);
+    shared_.journals.resize(shared_.defined->services.size());
+    for (const auto& domain : shared_.defined->domains)
+        shared_.domains.emplace_back(domain.max_in_flight);
+    const auto count = shared_.defined->upstreams.size();
+    for (std::uint32_t i = 0; i < count; ++i)
+        upstreams_.push_back(std::make_unique<upstream_standin>(
+            context, shared_, upstream_index{i}, i + 1));
+}
+
+void upstream_park::start()
+{
+    for (auto& upstream : upstreams_)
+        upstream->start();
+}
+
+void upstream_park::on_control(
+    const standin_request& request, const respond& answer)
+{
+    try {
+        answer(make_response(200, apply(request).dump()), {});
+    }
+    catch (const std::exception& problem) {
+        answer(make_response(400, std::string{problem.what()} + "\n"), {});
+    }
+}
+
+json upstream_park::apply(const standin_request& request)
+{
+    const std::string target{request.target()};
+    if (target == "/ledger")
+        return ledger();
+    if (target == "/bundle") {
+        replace_maps(request.body());
+        return json::object();
+    }
+    const auto order = json::parse(request.body());
+    if (target == "/ran")
+        return check_ids(order);
+    if (target == "/delays") {
+        shared_.domain_delay_ms =
+            order.value("domain_ms", shared_.domain_delay_ms);
+        shared_.connect_cost =
+            order.value("connect_cost", shared_.connect_cost);
+        return json::object();
+    }
+    if (target != "/control")
+        throw std::invalid_argument{"unknown path " + target};
+    const auto changed = change_staggered(
+        order.at("match").get<std::string>(),
+        order.at("set"),
+        order.value("stagger_ms", 0.0));
+    return {{"changed", changed}};
+}
+
+std::vector<upstream_standin*> upstream_park::matching(const std::string& match)
+{
+    std::vector<upstream_standin*> found;
+    for (auto& upstream : upstreams_) {
+        const auto& definition = upstream->definition();
+        if (match == "*" || match == definition.id ||
+            match == upstream->domain() ||
+            match == shared_.defined->at(definition.service).id)
+            found.push_back(upstream.get());
+    }
+    return found;
+}
+
+std::size_t upstream_park::change(const std::string& match, const json& set)
+{
+    const auto found = matching(match);
+    for (auto* upstream : found)
+        upstream->change(set);
+    return found.size();
+}
+
+std::size_t upstream_park::change_staggered(
+    const std::string& match, const json& set, double stagger_ms)
+{
+    if (stagger_ms <= 0)
+        return change(match, set);
+    const auto found = matching(match);
+    double delay_ms = 0;
+    for (auto* upstream : found) {
+        run_after(
+            *context_, delay_ms, [upstream, set] { upstream->change(set); });
+        delay_ms += stagger_ms;
+    }
+    return found.size();
+}
+
+bool upstream_park::has_run(const std::string& request) const
+{
+    return std::any_of(
+        shared_.journals.begin(),
+        shared_.journals.end(),
+        [&](const service_journal& journal) {
+            return journal.has_run(request);
+        });
+}
+
+json upstream_park::check_ids(const json& report) const
+{
+    std::size_t refused_but_ran = 0;
+    for (const auto& id : report.at("not_run_ids"))
+        refused_but_ran += has_run(id.get<std::string>()) ? 1 : 0;
+    std::size_t stored_but_missing = 0;
+    for (const auto& id : report.at("stored_ids"))
+        stored_but_missing += has_run(id.get<std::string>()) ? 0 : 1;
+    return {
+        {"refused_but_ran", refused_but_ran},
+        {"stored_but_missing", stored_but_missing}};
+}
+
+void upstream_park::replace_maps(const std::string& text)
+{
+    const auto parsed = parse_bundle(text);
+    if (!parsed)
+        throw std::invalid_argument{parsed.error().message};
+    const auto& next = **parsed;
+    if (next.upstreams.size() != upstreams_.size() ||
+        next.services.size() != shared_.journals.size())
+        throw std::invalid_argument{
+            "services and upstreams must stay the same"};
+    shared_.defined = *parsed;
+}
+
+json upstream_park::ledger() const
+{
+    const auto& defined = *shared_.defined;
+    json report{
+        {"upstreams", json::array()},
+        {"services", json::object()},
+        {"domains", json::object()}};
+    for (const auto& upstream : upstreams_)
+        report["upstreams"].push_back(upstream->ledger());
+    for (std::size_t i = 0; i < shared_.journals.size(); ++i) {
+        const auto& journal = shared_.journals[i];
+        if (defined.services[i].kind == service_kind::entries)
+            report["services"][defined.services[i].id] = {
+                {"entries", journal.entries()},
+                {"doubled_runs", journal.doubled_runs()}};
+    }
+    for (std::size_t i = 0; i < shared_.domains.size(); ++i)
+        report["domains"][defined.domains[i].id] = shared_.domains[i].to_json();
+    return report;
+}
+
+} // namespace peridotward::testing
--- a/tests/standins/upstream_standin.cpp
+++ b/tests/standins/upstream_standin.cpp
@@ -1,12 +1,13 @@
+#include "run_after.hpp"
 #include "upstream_standin.hpp"
 
-#include <peridotward/base/object_reader.hpp>
-
 #include <algorithm>
 #include <cmath>
 
 namespace peridotward::testing {
 
+using steady = std::chrono::steady_clock;
+
 struct upstream_standin::work
 {
     explicit work(net::io_context& context) : timer{context} {}
@@ -17,12 +18,20 @@
 namespace {
 
 constexpr double default_deadline_ms = 1000;
+constexpr unsigned status_cancelled = 499;
+constexpr unsigned status_late = 504;
 
 std::chrono::nanoseconds as_nanoseconds(double ms)
 {
     return std::chrono::nanoseconds{static_cast<std::int64_t>(ms * 1e6)};
 }
 
+double ms_since(steady::time_point start)
+{
+    return std::chrono::duration<double, std::milli>{steady::now() - start}
+        .count();
+}
+
 double deadline_of(const standin_request& request)
 {
     const auto found = request.find("deadline-ms");
@@ -34,101 +43,114 @@
 
 upstream_standin::upstream_standin(
     net::io_context& context,
-    bundle_ptr defined,
+    shared_state& shared,
     upstream_index index,
-    const record_set& records,
     std::uint64_t seed)
-    : context_{&context},
-      defined_{std::move(defined)},
-      index_{index},
-      records_{&records},
-      random_{seed}
+    : context_{&context}, shared_{&shared}, index_{index}, random_{seed}
 {}
 
 const upstream& upstream_standin::definition() const
 {
-    return defined_->at(index_);
+    return shared_->defined->at(index_);
 }
 
-const std::string& upstream_standin::id() const
+const service& upstream_standin::served() const
 {
-    return definition().id;
+    return shared_->defined->service_of(index_);
+}
+
+const std::string& upstream_standin::domain() const
+{
+    return shared_->defined->domains[definition().domain.position()].id;
 }
 
 void upstream_standin::start()
 {
     auto hooks = std::make_shared<listener_hooks>();
     hooks->on_connect = [this] {
-        ++ledger_.connections;
-        ledger_.max_connections =
-            std::max(ledger_.max_connections, ledger_.connections);
-        const auto limit = defined_->service_of(index_).connections;
-        if (ledger_.connections > limit)
-            ++ledger_.connection_overruns;
-        if (behaviour_.down)
-            --ledger_.connections;
+        if (!behaviour_.down)
+            on_connection();
         return !behaviour_.down;
     };
+    hooks->connect_cost = [this]() -> std::chrono::nanoseconds {
+        if (shared_->connect_cost)
+            return served().connect_cost;
+        return {};
+    };
     hooks->on_disconnect = [this] { --ledger_.connections; };
-    hooks->on_request = [this](standin_request request, respond answer) {
-        on_request(std::move(request), std::move(answer));
+    hooks->on_request = [this](const standin_request& request, respond answer) {
+        on_request(request, std::move(answer));
     };
     const auto& address = definition().address;
     listen(*context_, address.host, address.port, hooks);
 }
 
+void upstream_standin::on_connection()
+{
+    ++ledger_.connects;
+    ++ledger_.connections;
+    ledger_.max_connections =
+        std::max(ledger_.max_connections, ledger_.connections);
+    if (ledger_.connections > served().connections)
+        ++ledger_.connection_overruns;
+}
+
 void upstream_standin::change(const json& behaviour)
 {
-    object_reader reader{behaviour, id()};
-    auto& b = behaviour_;
-    b.phase = reader.choice_or("phase", b.phase);
-    b.reported = reader.choice_or("reported", b.reported);
-    b.snapshots.oldest = static_cast<snapshot_id>(
-        reader.integer_or("oldest", 0, 1 << 30, b.snapshots.oldest));
-    b.snapshots.newest = static_cast<snapshot_id>(
-        reader.integer_or("newest", 0, 1 << 30, b.snapshots.newest));
-    b.service_ms = reader.number_or("service_ms", 0, 1e6, b.service_ms);
-    b.straggler_share =
-        reader.number_or("straggler_share", 0, 1, b.straggler_share);
-    b.straggler_factor =
-        reader.number_or("straggler_factor", 0, 1e6, b.straggler_factor);
-    b.shed = reader.flag_or("shed", b.shed);
-    b.down = reader.flag_or("down", b.down);
-    b.fault.cut_at = reader.number_or("cut_at", 0, 1, b.fault.cut_at);
-    b.fault.reset = reader.flag_or("reset", b.fault.reset);
-    b.fault.drip = reader.flag_or("drip", b.fault.drip);
-    const bool forbidden = reader.flag_or("forbidden", b.forbidden);
-    if (forbidden && !b.forbidden)
-        forbidden_since_ = std::chrono::steady_clock::now();
-    b.forbidden = forbidden;
-    reader.finish();
+    const auto before = behaviour_;
+    behaviour_.apply(behaviour, id());
+    if (behaviour_.forbidden && !before.forbidden)
+        forbidden_since_ = steady::now();
+    if (behaviour_.phase == upstream_phase::cold &&
+        before.phase != upstream_phase::cold) {
+        cold_since_ = steady::now();
+        completed_when_cold_ = ledger_.completed;
+    }
 }
 
 json upstream_standin::ledger() const
 {
-    const auto& l = ledger_;
-    return {
-        {"id", id()},
-        {"requests", l.requests},
-        {"completed", l.completed},
-        {"cancelled", l.cancelled},
-        {"shed", l.shed},
-        {"slot_overruns", l.slot_overruns},
-        {"bear_limit_violations", l.bear_limit_violations},
-        {"connection_overruns", l.connection_overruns},
-        {"forbidden_requests", l.forbidden_requests},
-        {"last_forbidden_ms", l.last_forbidden_ms},
-        {"in_flight", l.in_flight},
-        {"max_in_flight", l.max_in_flight},
-        {"connections", l.connections},
-        {"max_connections", l.max_connections},
-        {"doubled_runs", doubled_runs_},
-        {"entries", journal_.size()}};
+    auto entry = ledger_.to_json();
+    entry["id"] = id();
+    entry["service"] = served().id;
+    entry["domain"] = domain();
+    entry["phase"] = name_of(behaviour_.phase);
+    return entry;
+}
+
+bool upstream_standin::far_away(const standin_request& request) const
+{
+    const auto sender = request["instance-domain"];
+    return shared_->domain_delay_ms > 0 && !sender.empty() &&
+           std::string_view{sender.data(), sender.size()} != domain();
+}
+
+void upstream_standin::on_request(
+    const standin_request& request, respond answer)
+{
+    if (!far_away(request)) {
+        dispatch(request, std::move(answer));
+        return;
+    }
+    const auto delay = shared_->domain_delay_ms;
+    respond delayed = [this, delay, answer = std::move(answer)](
+                          standin_response response, wire_fault fault) {
+        run_after(
+            *context_,
+            delay,
+            [answer, response = std::move(response), fault]() mutable {
+                answer(std::move(response), fault);
+            });
+    };
+    run_after(*context_, delay, [this, request, delayed] {
+        dispatch(request, delayed);
+    });
 }
 
-void upstream_standin::on_request(standin_request request, respond answer)
+void upstream_standin::dispatch(const standin_request& request, respond answer)
 {
     const std::string target{request.target()};
+    warm_up_if_due();
     try {
         if (target == "/v1/status")
             send(answer, 200, "{}");
@@ -148,23 +170,40 @@
     }
 }
 
+void upstream_standin::warm_up_if_due()
+{
+    auto& b = behaviour_;
+    if (b.phase != upstream_phase::cold)
+        return;
+    const auto done =
+        static_cast<double>(ledger_.completed - completed_when_cold_);
+    const bool by_time =
+        b.warm_after_ms > 0 && ms_since(cold_since_) >= b.warm_after_ms;
+    const bool by_work =
+        b.warm_after_requests > 0 && done >= b.warm_after_requests;
+    if (by_time || by_work)
+        b.phase = upstream_phase::warm;
+}
+
 std::uint32_t upstream_standin::bears() const
 {
-    const auto& limits = defined_->service_of(index_);
-    return behaviour_.phase == upstream_phase::cold ? limits.cold_slots
-                                                    : limits.slots;
+    return behaviour_.phase == upstream_phase::cold ? served().cold_slots
+                                                    : served().slots;
+}
+
+void upstream_standin::note_forbidden()
+{
+    const auto since = ms_since(forbidden_since_);
+    if (ledger_.forbidden_requests++ == 0)
+        ledger_.first_forbidden_ms = since;
+    ledger_.last_forbidden_ms = since;
 }
 
 bool upstream_standin::admit(const respond& answer)
 {
     ++ledger_.requests;
-    if (behaviour_.forbidden) {
-        ++ledger_.forbidden_requests;
-        ledger_.last_forbidden_ms =
-            std::chrono::duration<double, std::milli>{
-                std::chrono::steady_clock::now() - forbidden_since_}
-                .count();
-    }
+    if (behaviour_.forbidden)
+        note_forbidden();
     if (behaviour_.phase == upstream_phase::draining || behaviour_.shed) {
         ++ledger_.shed;
         send(answer, 503, "{}");
@@ -200,6 +239,7 @@
 {
     ++ledger_.in_flight;
     ledger_.max_in_flight = std::max(ledger_.max_in_flight, ledger_.in_flight);
+    shared_->domains[definition().domain.position()].enter();
     auto job = std::make_shared<work>(*context_);
     job->answer = std::move(answer);
     working_.emplace(request, job);
@@ -209,7 +249,7 @@
     job->timer.async_wait([this, request, late, produce = std::move(produce)](
                               boost::system::error_code code) {
         if (!code)
-            finish(request, late ? 504 : 200, late ? "{}" : produce());
+            finish(request, late ? status_late : 200, late ? "{}" : produce());
     });
 }
 
@@ -222,48 +262,74 @@
     const auto job = found->second;
     working_.erase(found);
     --ledger_.in_flight;
-    ++(status == 499 ? ledger_.cancelled : ledger_.completed);
+    shared_->domains[definition().domain.position()].leave();
+    if (status == status_cancelled)
+        ++ledger_.cancelled;
+    else
+        ++(status == status_late ? ledger_.late : ledger_.completed);
     send(job->answer, status, std::move(body));
 }
 
+bool upstream_standin::serves(key_range range, snapshot_id snapshot) const
+{
+    for (const auto& candidate : shared_->defined->maps) {
+        const auto* map = shared_->defined->map_at(candidate.id, snapshot);
+        if (map == nullptr)
+            continue;
+        for (const auto& part : map->shards) {
+            if (part.service == definition().service &&
+                part.range.contains(range))
+                return true;
+        }
+    }
+    return false;
+}
+
 void upstream_standin::search(const standin_request& request, respond answer)
 {
-    const auto wanted = json::parse(request.body());
-    const auto snapshot = wanted.at("snapshot").get<snapshot_id>();
-    const key_range range{
-        wanted.at("range").at(0).get<record_key>(),
-        wanted.at("range").at(1).get<record_key>()};
+    const auto document = json::parse(request.body());
+    auto wanted = read_search_question(document);
+    wanted.service = served().id;
     if (!admit(answer))
         return;
-    if (!behaviour_.snapshots.contains(snapshot)) {
+    ++ledger_.searches;
+    if (!behaviour_.snapshots.contains(wanted.snapshot)) {
         send(answer, 410, "{}");
         return;
     }
-    const auto id = wanted.at("request").get<std::string>();
-    const auto deadline = wanted.at("deadline_ms").get<double>();
-    run(id, deadline, std::move(answer), [this, wanted, id, range, snapshot] {
-        json records = json::array();
-        for (const auto* record :
-             records_->find(range, snapshot, wanted.at("criteria")))
-            records.push_back(record->to_json());
-        return json{
-            {"request", id},
-            {"service", defined_->service_of(index_).id},
-            {"snapshot", snapshot},
-            {"range", {range.first, range.last}},
-            {"count", records.size()},
-            {"records", records}}
-            .dump();
+    if (!serves(wanted.range, wanted.snapshot)) {
+        ++ledger_.foreign_ranges;
+        send(answer, 416, "{}");
+        return;
+    }
+    const auto id = wanted.request;
+    const auto deadline = wanted.deadline_ms;
+    run(id, deadline, std::move(answer), [this, wanted = std::move(wanted)] {
+        return search_body(wanted);
     });
 }
 
+std::string upstream_standin::search_body(const search_question& wanted)
+{
+    const auto fault = random_.unit() < behaviour_.fault_share
+                           ? behaviour_.body
+                           : body_fault::none;
+    auto body = render_search_answer(*shared_->records, wanted, fault);
+    if (fault == body_fault::previous && !previous_body_.empty())
+        body.swap(previous_body_);
+    else
+        previous_body_ = body;
+    return body;
+}
+
 void upstream_standin::fetch(const standin_request& request, respond answer)
 {
     if (!admit(answer))
         return;
+    ++ledger_.fetches;
     const std::string target{request.target()};
     const auto key = std::stoull(target.substr(target.rfind('/') + 1));
-    const auto* record = records_->at(key);
+    const auto* record = shared_->records->at(key);
     if (record == nullptr) {
         send(answer, 404, "{}");
         return;
@@ -278,9 +344,9 @@
 {
     if (!admit(answer))
         return;
+    ++ledger_.appends;
     const std::string id{request["request-id"]};
-    if (++journal_[id] > 1)
-        ++doubled_runs_;
+    shared_->journals[definition().service.position()].run(id);
     run(id, deadline_of(request), std::move(answer), [] {
         return std::string{R"({"stored":true})"};
     });
@@ -291,7 +357,7 @@
 {
     const auto id = json::parse(request.body()).at("request");
     send(answer, 200, "{}");
-    finish(id.get<std::string>(), 499, "{}");
+    finish(id.get<std::string>(), status_cancelled, "{}");
 }
 
 void upstream_standin::send(
@@ -308,7 +374,8 @@
         "upstream-snapshots",
         std::to_string(behaviour_.snapshots.oldest) + "-" +
             std::to_string(behaviour_.snapshots.newest));
-    answer(std::move(response), behaviour_.fault);
+    const bool spoiled = random_.unit() < behaviour_.fault_share;
+    answer(std::move(response), spoiled ? behaviour_.fault : wire_fault{});
 }
 
 } // namespace peridotward::testing
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -3,6 +3,8 @@
 # failure domain taken out and brought back, and reports what callers saw.
 #
 # usage: tools/demo.sh [--deployment pwani|authority] [--rate N] [--report FILE]
+#
+# Exits with 1 when a promise was broken and leaves no process behind.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -22,42 +24,42 @@
 tools/setup.sh
 cmake --preset release >/dev/null
 cmake --build --preset release
+echo "set up and built after $SECONDS s"
 
 source tools/fleet.sh
 fleet_use "$wanted"
-trap fleet_stop EXIT
+trap fleet_clean EXIT
 trap 'exit 130' INT TERM
 
 case $deployment in
-pwani) search=exposure domain=nyali slow=certify-3-1 ;;
-authority) search=compliance domain=nelson slow=harbour-clearance-3-1 ;;
+pwani)
+    search=exposure domain=nyali slow=certify-3-1
+    mix=fetch:panel-desk=0.1,append:billing=0.05
+    ;;
+authority)
+    search=compliance domain=nelson slow=harbour-clearance-3-1
+    mix=fetch:district-desk=0.1,append:booking-audit=0.05
+    ;;
 esac
-bundle=examples/$deployment/bundle.jsonc
 
 echo "starting stand-ins and 8 instances of $deployment"
 fleet_start
 "$bin/tests/standins/make_queries" "$bundle" $search 2000 >"$work/queries"
 fleet_set "$slow" '{"straggler_share":0.1,"straggler_factor":20}'
 
-echo "load of 20 s at $rate searches/s; $slow straggles; $domain leaves at 5 s" \
+echo "load of 20 s at $rate requests/s; $slow straggles; $domain leaves at 5 s" \
     "and returns at 12 s"
-"$bin/ctl/peridotctl" load --queries "$work/queries" \
-    --entries "$(fleet_entries)" --rate "$rate" --seconds 20 \
-    --deadline 1000 --report "$work/load.json" &
-load=$!
+fleet_load "$work/load.json" --rate "$rate" --seconds 20 --deadline 1000 \
+    --mix "$mix"
 sleep 5
-sed -e 's/"version": 1,/"version": 2,/' \
-    -e "s/\(\"id\": \"$domain\".*\"state\": \)\"in\"/\1\"out\"/" \
-    "$bundle" >"$work/out.jsonc"
-fleet_publish /v1/values/bundle "$work/out.jsonc"
+fleet_publish_domain "$domain" out 2
 sleep 3
 fleet_set "$domain" '{"forbidden":true}'
 sleep 4
 fleet_set "$domain" '{"forbidden":false}'
-sed -e 's/"version": 1,/"version": 3,/' "$bundle" >"$work/in.jsonc"
-fleet_publish /v1/values/bundle "$work/in.jsonc"
-wait $load || true
-curl -fsS "http://$control/ledger" >"$work/ledger.json"
+fleet_publish_domain "$domain" in 3
+wait "$load_pid" || true
+fleet_read_ledger "$work/load.json" "$work"
 
-"$bin/tests/standins/demo_report" "$work/load.json" "$work/ledger.json" \
-    "${report:-$work/report.json}"
+"$bin/tests/report/demo_report" "$work/load.json" "$work/ledger.json" \
+    "$work/ran.json" "${report:-$work/report.json}"
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,35 +1,52 @@
 # Starts and stops stand-ins and instances on loopback; to be sourced.
 #
-# Sets: bin (build folder), work (scratch folder), deployment, prefix, net.
+# Sets: bin (build folder), work (scratch folder), deployment, prefix, net,
+# platform and control (addresses of the stand-ins), caller_delay (ms).
 
-fleet_use() {
+fleet_use() { # DEPLOYMENT
     deployment=$1
     case $deployment in
-    pwani) prefix=pw net=127.10 ;;
-    authority) prefix=mc net=127.20 ;;
+    pwani) prefix=pw net=127.10 caller_delay=3 ;;
+    authority) prefix=mc net=127.20 caller_delay=1 ;;
     *)
         echo "unknown deployment \"$deployment\"" >&2
         return 2
         ;;
     esac
     bin=build/release
-    work=$(mktemp -d)
+    bundle=examples/$deployment/bundle.jsonc
     platform=$net.0.100:7000
     control=$net.0.101:7001
+    work=$(mktemp -d)
     fleet_pids=()
 }
 
+declare -A instance_pid
+instance_numbers=(1 2 3 4 5 6 7 8)
+
 fleet_publish() { # PATH FILE
     curl -fsS -X PUT --data-binary @"$2" "http://$platform$1" >/dev/null
 }
 
-fleet_set() { # MATCH JSON: changes the behaviour of matching upstreams
+fleet_set() { # MATCH JSON [STAGGER_MS]: changes matching upstreams
     curl -fsS -X POST "http://$control/control" \
-        -d "{\"match\":\"$1\",\"set\":$2}" >/dev/null
+        -d "{\"match\":\"$1\",\"set\":$2,\"stagger_ms\":${3:-0}}" >/dev/null
+}
+
+fleet_delays() { # sets the delays between failure domains and of connections
+    curl -fsS -X POST "http://$control/delays" \
+        -d '{"domain_ms":1.5,"connect_cost":true}' >/dev/null
+}
+
+fleet_publish_domain() { # DOMAIN STATE VERSION: publishes a changed bundle
+    sed -e "s/\"version\": 1,/\"version\": $3,/" \
+        -e "s/\(\"id\": \"$1\".*\"state\": \)\"in\"/\1\"$2\"/" \
+        "$bundle" >"$work/bundle-$3.jsonc"
+    fleet_publish /v1/values/bundle "$work/bundle-$3.jsonc"
 }
 
 fleet_wait() { # URL: waits until it answers with success
-    for _ in $(seq 200); do
+    for _ in $(seq 400); do
         curl -fsS -o /dev/null "$1" 2>/dev/null && return 0
         sleep 0.05
     done
@@ -45,34 +62,76 @@
     instance_pid[$1]=$!
 }
 
-declare -A instance_pid
+fleet_wait_instance() { # NUMBER: waits until it is ready
+    fleet_wait "http://$net.0.$1:8081/v1/health/ready"
+}
+
+fleet_stop_instance() { # NUMBER: asks it to stop and waits for its end
+    local pid=${instance_pid[$1]}
+    kill -TERM "$pid"
+    wait "$pid" || echo "instance $1 ended with code $?" >&2
+    unset "instance_pid[$1]"
+}
 
 fleet_start() { # starts everything and waits until it is ready
     "$bin/tests/standins/standin_platform" "$platform" &
     fleet_pids+=($!)
-    "$bin/tests/standins/standin_upstreams" \
-        "examples/$deployment/bundle.jsonc" "$control" &
+    "$bin/tests/standins/standin_upstreams" "$bundle" "$control" &
     fleet_pids+=($!)
+    standin_pid=$!
     fleet_wait "http://$platform/ledger"
     fleet_wait "http://$control/ledger"
-    fleet_publish /v1/values/bundle "examples/$deployment/bundle.jsonc"
+    fleet_delays
+    fleet_publish /v1/values/bundle "$bundle"
     fleet_publish /v1/instances "examples/$deployment/instances.json"
-    for i in 1 2 3 4 5 6 7 8; do fleet_start_instance $i; done
-    for i in 1 2 3 4 5 6 7 8; do
-        fleet_wait "http://$net.0.$i:8081/v1/health/ready"
-    done
+    for i in "${instance_numbers[@]}"; do fleet_start_instance "$i"; done
+    for i in "${instance_numbers[@]}"; do fleet_wait_instance "$i"; done
 }
 
 fleet_entries() { # prints the callers' addresses, comma separated
     local list=""
-    for i in 1 2 3 4 5 6 7 8; do list+="$net.0.$i:8080,"; done
+    for i in "${instance_numbers[@]}"; do list+="$net.0.$i:8080,"; done
     echo "${list%,}"
 }
 
+fleet_load() { # REPORT OPTIONS...: runs the load tool in the background
+    local report=$1
+    shift
+    "$bin/ctl/peridotctl" load --queries "$work/queries" \
+        --entries "$(fleet_entries)" --caller-delay "$caller_delay" \
+        --report "$report" "$@" &
+    load_pid=$!
+    fleet_pids+=("$load_pid")
+}
+
+fleet_read_ledger() { # LOAD_REPORT FOLDER: leaves ledger.json and ran.json
+    curl -fsS "http://$control/ledger" >"$2/ledger.json"
+    curl -fsS -X POST "http://$control/ran" --data-binary @"$1" >"$2/ran.json"
+}
+
+fleet_await_end() { # PID SECONDS: whether the process ends in time
+    local polls=$(($2 * 20))
+    while kill -0 "$1" 2>/dev/null; do
+        [ $((polls--)) -gt 0 ] || return 1
+        sleep 0.05
+    done
+}
+
 fleet_stop() { # ends what was started here, by process id
     local pid
     for pid in "${fleet_pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    for pid in "${fleet_pids[@]}"; do
+        if ! fleet_await_end "$pid" 25; then
+            echo "process $pid did not stop and was ended" >&2
+            kill -KILL "$pid" 2>/dev/null || true
+        fi
+        wait "$pid" 2>/dev/null || true
+    done
     fleet_pids=()
+}
+
+fleet_clean() { # stops everything and removes the scratch folder
+    trap '' INT TERM
+    fleet_stop
     rm -rf "$work"
 }
