--- a/ctl/src/entry_pool.cpp
+++ b/ctl/src/entry_pool.cpp
@@ -32,7 +32,7 @@
     }
 }
 
-endpoint entry_pool::next(std::optional<endpoint> avoid)
+endpoint entry_pool::next(const std::optional<endpoint>& avoid)
 {
     for (std::size_t step = 0; step < entries_.size(); ++step) {
         const auto& entry = entries_[turn_++ % entries_.size()];
--- a/ctl/src/entry_pool.hpp
+++ b/ctl/src/entry_pool.hpp
@@ -33,7 +33,8 @@
 
     /// \returns The next address in turn; one that failed is passed over as
     /// long as there is another.
-    [[nodiscard]] endpoint next(std::optional<endpoint> avoid = std::nullopt);
+    [[nodiscard]] endpoint
+    next(const std::optional<endpoint>& avoid = std::nullopt);
 
     /// Notes that a connection to `entry` failed.
     void note_failure(const endpoint& entry);
