Core: decide replicas, hedges and retries from own observations

Cause: a query tried random replicas and never hedged. Change: replica_stats, adaptive_replica, hedge_delay, hedge_budget and a query with wakeups, redirects, retries and re-planning.

--- a/core/include/peridotward/core/attempt.hpp
+++ b/core/include/peridotward/core/attempt.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace peridotward {
 
@@ -123,6 +124,7 @@
     bool sent = false; ///< Whether any byte may have reached the upstream.
     upstream_report report;
     duration elapsed{};
+    std::optional<std::uint32_t> free_slots; ///< As told by the owner.
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -1,9 +1,19 @@
 #pragma once
 
+#include <peridotward/core/adaptive_replica.hpp>
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
+#include <peridotward/core/bundle_translation.hpp>
+#include <peridotward/core/hedge_budget.hpp>
+#include <peridotward/core/hedge_delay.hpp>
+#include <peridotward/core/latency_sketch.hpp>
 #include <peridotward/core/peer_message.hpp>
 #include <peridotward/core/query.hpp>
+#include <peridotward/core/query_actions.hpp>
 #include <peridotward/core/query_plan.hpp>
+#include <peridotward/core/query_policy.hpp>
 #include <peridotward/core/random_replica.hpp>
+#include <peridotward/core/replica_policy.hpp>
+#include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
+#include <peridotward/core/wakeup_queue.hpp>
--- /dev/null
+++ b/core/include/peridotward/core/hedge_budget.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <peridotward/core/attempt.hpp>
+
+#include <algorithm>
+
+namespace peridotward {
+
+/// \brief Shared allowance of one instance for hedges and retries.
+///
+/// \remarks Every part of a query whose first request reached an upstream
+/// earns `share` of a request, and every hedge or retry takes a whole one, so
+/// the extra requests never exceed `share` of the first ones. Nothing is
+/// granted under overload. Source: retry budgets as in "Finagle" and Dean,
+/// Barroso, "The tail at scale", 2013.
+class hedge_budget
+{
+public:
+    static constexpr double share = 0.05;
+    static constexpr double most_saved = 64;
+    /// \brief Share of shed among recent attempts that means overload.
+    static constexpr double overload_share = 0.05;
+
+    /// \brief Earns for a part whose first request reached an upstream.
+    void on_first_sent() noexcept
+    {
+        saved_ = std::min(saved_ + share, most_saved);
+    }
+
+    /// \returns Whether one extra request may be sent; takes it if so.
+    [[nodiscard]] bool take() noexcept
+    {
+        if (overloaded() || saved_ < 1)
+            return false;
+        saved_ -= 1;
+        return true;
+    }
+
+    /// \brief Gives back what was taken for a request that was not sent.
+    void give_back() noexcept { saved_ = std::min(saved_ + 1, most_saved); }
+
+    /// \brief Notes the end of any attempt.
+    void on_ended(attempt_outcome outcome) noexcept
+    {
+        const double shed = outcome == attempt_outcome::shed ? 1.0 : 0.0;
+        shed_share_ += (shed - shed_share_) / memory;
+    }
+
+    /// \brief Notes whether queries wait for admission.
+    void queue_waiting(bool waiting) noexcept { waiting_ = waiting; }
+
+    [[nodiscard]] bool overloaded() const noexcept
+    {
+        return waiting_ || shed_share_ > overload_share;
+    }
+
+    /// \returns The extra requests that may be sent now.
+    [[nodiscard]] double saved() const noexcept { return saved_; }
+
+private:
+    static constexpr double memory = 128; // attempts
+
+    double saved_ = 0;
+    double shed_share_ = 0;
+    bool waiting_ = false;
+};
+
+} // namespace peridotward
--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query.hpp
@@ -1,30 +1,17 @@
 #pragma once
 
-#include <peridotward/base/random.hpp>
-#include <peridotward/base/range_set.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query_actions.hpp>
 #include <peridotward/core/query_plan.hpp>
+#include <peridotward/core/query_policy.hpp>
+#include <peridotward/core/wakeup_queue.hpp>
 
-#include <concepts>
+#include <array>
 #include <optional>
 #include <span>
 #include <vector>
 
 namespace peridotward {
 
-/// \brief Picks the upstream for an attempt.
-template<class Policy>
-concept replica_policy = requires(
-    Policy& policy,
-    std::span<const upstream_index> candidates,
-    std::span<const upstream_index> tried,
-    time_point now)
-{
-    {
-        policy.choose(candidates, tried, now)
-        } -> std::same_as<std::optional<upstream_index>>;
-};
-
 /// \brief What a query starts from.
 struct query_start
 {
@@ -36,67 +23,81 @@
     double coverage_target = 1.0;
 };
 
-/// \brief What the owner of a query must do next.
-struct query_actions
-{
-    std::vector<attempt> send;
-    std::vector<attempt_id> cancel;
-    bool finished = false;
-
-    void clear() noexcept
-    {
-        send.clear();
-        cancel.clear();
-        finished = false;
-    }
-};
-
-/// \brief A range that is missing from an answer, and why.
-struct missing_range
-{
-    key_range range;
-    attempt_outcome reason = attempt_outcome::not_sent;
-};
-
-/// \brief The state of one query: which ranges are merged and which attempts
-/// are on their way.
+/// \brief The state of one query: which ranges are merged, which attempts are
+/// on their way, and when to hedge or retry.
 ///
 /// \remarks Does no input or output. Answers must be checked before they are
-/// reported as `answered`; see `check_answer`.
+/// reported as `answered`; see `check_answer`. The end of every attempt sent
+/// is reported once. All times come from the caller.
 class query
 {
 public:
+    /// \brief Attempts of one part that may reach upstreams.
+    static constexpr std::uint32_t max_tries = 4;
+    /// \brief Attempts of one part that nothing was sent for.
+    static constexpr std::uint32_t max_redirects = 12;
+    /// \brief Times that a query may start anew on a newer snapshot.
+    static constexpr std::uint32_t max_replans = 2;
+
     explicit query(query_start start);
 
     /// \brief Decides the first attempts.
-    template<replica_policy Policy>
-    void begin(Policy& policy, time_point now, query_actions& out);
+    template<class Replica, class Hedge>
+    void
+    begin(query_policy<Replica, Hedge> policy, time_point now, query_actions&);
 
     /// \brief Takes the end of an attempt.
     ///
     /// \returns Whether its records belong into the answer.
-    template<replica_policy Policy>
+    template<class Replica, class Hedge>
     bool on_result(
         const attempt_result& ended,
-        Policy& policy,
+        query_policy<Replica, Hedge> policy,
         time_point now,
         query_actions& out);
 
     /// \brief Acts on the passing of time.
-    void on_time(time_point now, query_actions& out);
+    template<class Replica, class Hedge>
+    void on_time(
+        query_policy<Replica, Hedge> policy,
+        time_point now,
+        query_actions& out);
 
-    /// \returns When `on_time` must be called next.
-    [[nodiscard]] time_point next_wakeup() const noexcept
-    {
-        return start_.deadline;
-    }
+    /// \brief Ends the query at once, for example when its caller has left.
+    void abandon(query_actions& out);
+
+    /// \brief Drops everything merged and starts anew on `snapshot`.
+    ///
+    /// \returns False, with nothing changed, unless `snapshot` is newer than
+    /// the pinned one and the time left suffices.
+    template<class Replica, class Hedge>
+    bool replan(
+        snapshot_id snapshot,
+        query_policy<Replica, Hedge> policy,
+        time_point now,
+        query_actions& out);
+
+    /// \returns When `on_time` must be called next; never after the deadline.
+    [[nodiscard]] time_point next_wakeup() noexcept;
 
     [[nodiscard]] const query_start& start() const noexcept { return start_; }
     [[nodiscard]] const query_plan& plan() const noexcept { return plan_; }
     [[nodiscard]] bool finished() const noexcept { return finished_; }
 
     /// \returns The number of attempts decided so far.
-    [[nodiscard]] std::uint32_t attempts() const noexcept { return attempts_; }
+    [[nodiscard]] std::uint32_t attempts() const noexcept
+    {
+        return static_cast<std::uint32_t>(attempts_.size());
+    }
+
+    /// \returns The attempts that are on their way.
+    [[nodiscard]] std::uint32_t in_flight() const noexcept { return live_; }
+
+    /// \returns The hedges and retries decided so far.
+    [[nodiscard]] std::uint32_t extras() const noexcept { return extras_; }
+
+    /// \returns How often the query started anew on a newer snapshot.
+    [[nodiscard]] std::uint32_t replans() const noexcept { return replans_; }
 
     /// \returns Whether any byte may have reached an upstream.
     [[nodiscard]] bool anything_sent() const noexcept { return sent_; }
@@ -108,101 +109,92 @@
     [[nodiscard]] std::vector<missing_range> missing() const;
 
 private:
-    static constexpr std::uint32_t max_tries_per_part = 3;
+    enum class attempt_kind : std::uint8_t
+    {
+        first, ///< Nothing of the part was sent before.
+        retry,
+        hedge,
+    };
 
     struct part_state
     {
         bool merged = false;
+        bool given_up = false;
+        bool earned = false; ///< The budget was told of the first request.
         attempt_outcome last = attempt_outcome::not_sent;
-        std::uint32_t in_flight = 0;
-        std::vector<upstream_index> tried;
+        std::uint8_t in_flight = 0; ///< Entries of `live` in use.
+        std::uint8_t tries = 0;
+        std::uint8_t redirects = 0;
+        std::uint8_t tried_count = 0;
+        std::uint32_t serial = 0; ///< Of the only wakeup that counts.
+        std::array<std::uint16_t, max_tries> live{}; ///< Attempt numbers.
+        std::array<upstream_index, max_tries + max_redirects> tried;
     };
 
-    struct live_attempt
+    struct sent_attempt
     {
-        attempt_id id;
-        std::uint32_t part;
-        upstream_index upstream;
+        std::uint32_t part = 0;
+        bool live = false;
+        bool extra = false;
+        bool hedge = false;
     };
 
-    template<replica_policy Policy>
+    template<class Replica, class Hedge>
     void try_part(
-        std::uint32_t part, Policy& policy, time_point now, query_actions& out);
-    [[nodiscard]] std::optional<live_attempt> take_live(attempt_id id);
+        std::uint32_t part,
+        attempt_kind kind,
+        query_policy<Replica, Hedge> policy,
+        time_point now,
+        query_actions& out);
+    template<class Replica, class Hedge>
+    void after_failure(
+        std::uint32_t part,
+        query_policy<Replica, Hedge> policy,
+        time_point now);
+    template<class Replica, class Hedge>
+    void
+    await_hedge(std::uint32_t part, query_policy<Replica, Hedge>, time_point);
+
+    void plan_parts();
+    [[nodiscard]] attempt_id id_of(std::uint64_t number) const noexcept;
+    [[nodiscard]] std::uint64_t number_of(attempt_id id) const noexcept;
+    [[nodiscard]] bool settled(const part_state& part) const noexcept
+    {
+        return part.merged || part.given_up;
+    }
+    void note_end(
+        std::uint64_t number,
+        const attempt_result& ended,
+        hedge_budget& budget) noexcept;
+    void merge(std::uint32_t part, query_actions& out);
+    void give_up(std::uint32_t part) noexcept;
+    void send(
+        std::uint32_t part,
+        attempt_kind kind,
+        upstream_index chosen,
+        query_actions& out);
+    void wake_at(std::uint32_t part, time_point due);
+    [[nodiscard]] duration
+    backoff(const part_state& part, random_source& random) const;
+    void cancel_live(std::uint32_t part, query_actions& out);
     void finish_if_settled(query_actions& out);
+    void finish_at_deadline(query_actions& out);
     void finish(query_actions& out);
 
     query_start start_;
     query_plan plan_;
-    range_set merged_;
     std::vector<part_state> parts_;
-    std::vector<live_attempt> live_;
-    std::uint32_t attempts_ = 0;
+    std::vector<sent_attempt> attempts_; ///< By the number in the id.
+    wakeup_queue due_;
+    std::uint64_t merged_keys_ = 0;
+    std::uint32_t open_parts_ = 0;
+    std::uint32_t live_ = 0;
+    std::uint32_t extras_ = 0;
+    std::uint32_t replans_ = 0;
     bool sent_ = false;
     bool finished_ = false;
 };
 
-template<replica_policy Policy>
-void query::begin(Policy& policy, time_point now, query_actions& out)
-{
-    for (std::uint32_t part = 0; part < parts_.size(); ++part)
-        try_part(part, policy, now, out);
-    finish_if_settled(out);
-}
-
-template<replica_policy Policy>
-bool query::on_result(
-    const attempt_result& ended,
-    Policy& policy,
-    time_point now,
-    query_actions& out)
-{
-    const auto known = take_live(ended.id);
-    if (!known || finished_)
-        return false;
-    sent_ = sent_ || ended.sent;
-    auto& part = parts_[known->part];
-    --part.in_flight;
-    if (part.merged)
-        return false;
-    part.last = ended.outcome;
-    const bool merged = ended.outcome == attempt_outcome::answered &&
-                        merged_.add(plan_.parts[known->part].range);
-    if (merged)
-        part.merged = true;
-    else if (part.in_flight == 0)
-        try_part(known->part, policy, now, out);
-    finish_if_settled(out);
-    return merged;
-}
-
-template<replica_policy Policy>
-void query::try_part(
-    std::uint32_t part, Policy& policy, time_point now, query_actions& out)
-{
-    auto& state = parts_[part];
-    if (now >= start_.deadline || state.tried.size() >= max_tries_per_part)
-        return;
-    const auto& planned = plan_.parts[part];
-    const auto& candidates = start_.in_force->at(planned.service).upstreams;
-    const auto chosen = policy.choose(candidates, state.tried, now);
-    if (!chosen)
-        return;
-    const auto number = ++attempts_;
-    const auto id =
-        attempt_id{(static_cast<std::uint64_t>(start_.id) << 16U) | number};
-    state.tried.push_back(*chosen);
-    ++state.in_flight;
-    live_.push_back({id, part, *chosen});
-    out.send.push_back(attempt{
-        id,
-        start_.id,
-        part,
-        *chosen,
-        planned.range,
-        start_.snapshot,
-        start_.deadline,
-        false});
-}
-
 } // namespace peridotward
+
+#include <peridotward/core/query_impl.hpp>
--- /dev/null
+++ b/core/include/peridotward/core/query_impl.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <peridotward/core/query.hpp>
+
+#include <algorithm>
+
+namespace peridotward {
+
+template<class Replica, class Hedge>
+void query::begin(
+    query_policy<Replica, Hedge> policy, time_point now, query_actions& out)
+{
+    for (std::uint32_t part = 0; part < parts_.size(); ++part)
+        try_part(part, attempt_kind::first, policy, now, out);
+    finish_if_settled(out);
+}
+
+template<class Replica, class Hedge>
+bool query::on_result(
+    const attempt_result& ended,
+    query_policy<Replica, Hedge> policy,
+    time_point now,
+    query_actions& out)
+{
+    const auto number = number_of(ended.id);
+    if (number == 0 || finished_)
+        return false;
+    const auto part = attempts_[number - 1].part;
+    const bool was_hedge = attempts_[number - 1].hedge;
+    note_end(number, ended, *policy.budget);
+    auto& state = parts_[part];
+    if (settled(state))
+        return false;
+    const bool merged = ended.outcome == attempt_outcome::answered;
+    if (merged) {
+        merge(part, out);
+    }
+    else if (!was_hedge || ended.sent) {
+        state.last = ended.outcome;
+    }
+    if (!merged && state.in_flight == 0)
+        after_failure(part, policy, now);
+    else if (!merged && was_hedge && !ended.sent)
+        await_hedge(part, policy, now);
+    finish_if_settled(out);
+    return merged;
+}
+
+template<class Replica, class Hedge>
+void query::on_time(
+    query_policy<Replica, Hedge> policy, time_point now, query_actions& out)
+{
+    if (finished_)
+        return;
+    if (now >= start_.deadline) {
+        finish_at_deadline(out);
+        return;
+    }
+    while (!due_.empty() && due_.top().due <= now) {
+        const auto wakeup = due_.top();
+        due_.pop();
+        const auto& state = parts_[wakeup.part];
+        if (settled(state) || wakeup.serial != state.serial)
+            continue;
+        auto kind = attempt_kind::first;
+        if (state.in_flight > 0)
+            kind = attempt_kind::hedge;
+        else if (state.tries > 0)
+            kind = attempt_kind::retry;
+        try_part(wakeup.part, kind, policy, now, out);
+    }
+    finish_if_settled(out);
+}
+
+template<class Replica, class Hedge>
+bool query::replan(
+    snapshot_id snapshot,
+    query_policy<Replica, Hedge> policy,
+    time_point now,
+    query_actions& out)
+{
+    if (finished_ || snapshot <= start_.snapshot || replans_ >= max_replans ||
+        policy.budget->overloaded())
+        return false;
+    duration needed{};
+    for (const auto& part : plan_.parts)
+        needed = std::max(
+            needed, policy.hedge->delay(part.service).value_or(duration{}));
+    if (now + needed >= start_.deadline)
+        return false;
+    for (std::uint32_t part = 0; part < parts_.size(); ++part)
+        cancel_live(part, out);
+    start_.snapshot = snapshot;
+    ++replans_;
+    plan_parts();
+    begin(policy, now, out);
+    return true;
+}
+
+template<class Replica, class Hedge>
+void query::try_part(
+    std::uint32_t part,
+    attempt_kind kind,
+    query_policy<Replica, Hedge> policy,
+    time_point now,
+    query_actions& out)
+{
+    auto& state = parts_[part];
+    const auto service = plan_.parts[part].service;
+    const bool hedge = kind == attempt_kind::hedge;
+    const bool in_time = now + policy.hedge->least(service) < start_.deadline;
+    if (!in_time || state.tries >= max_tries ||
+        state.tried_count == state.tried.size()) {
+        if (state.in_flight == 0)
+            give_up(part);
+        return;
+    }
+    const auto chosen = policy.replica->choose(
+        {start_.in_force->at(service).upstreams,
+         std::span{state.tried}.first(state.tried_count),
+         start_.snapshot,
+         hedge,
+         now});
+    if (!chosen) {
+        if (hedge)
+            return;
+        out.snapshot_lost =
+            out.snapshot_lost || state.last == attempt_outcome::wrong_snapshot;
+        ++state.redirects;
+        state.tried_count = 0;
+        after_failure(part, policy, now);
+        return;
+    }
+    const bool extra = kind != attempt_kind::first;
+    if (extra && !policy.budget->take()) {
+        const auto pause = policy.hedge->delay(service).value_or(duration{});
+        const auto jittered = backoff(state, *policy.random);
+        wake_at(part, now + std::max(pause, jittered));
+        return;
+    }
+    send(part, kind, *chosen, out);
+    await_hedge(part, policy, now);
+}
+
+template<class Replica, class Hedge>
+void query::after_failure(
+    std::uint32_t part, query_policy<Replica, Hedge> policy, time_point now)
+{
+    const auto& state = parts_[part];
+    if (state.tries >= max_tries || state.redirects >= max_redirects) {
+        give_up(part);
+        return;
+    }
+    wake_at(part, now + backoff(state, *policy.random));
+}
+
+template<class Replica, class Hedge>
+void query::await_hedge(
+    std::uint32_t part, query_policy<Replica, Hedge> policy, time_point now)
+{
+    const auto& state = parts_[part];
+    if (state.tries >= max_tries || state.redirects >= max_redirects)
+        return;
+    const auto delay = policy.hedge->delay(plan_.parts[part].service);
+    if (delay)
+        wake_at(part, now + *delay);
+}
+
+} // namespace peridotward
--- a/core/include/peridotward/core/random_replica.hpp
+++ b/core/include/peridotward/core/random_replica.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/config/bundle.hpp>
+#include <peridotward/core/replica_policy.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -19,6 +20,11 @@
         : in_force_{&in_force}, random_{&random}
     {}
 
+    [[nodiscard]] std::optional<upstream_index> choose(const replica_wish& wish)
+    {
+        return choose(wish.candidates, wish.tried, wish.now);
+    }
+
     [[nodiscard]] std::optional<upstream_index> choose(
         std::span<const upstream_index> candidates,
         std::span<const upstream_index> tried,
--- a/core/include/peridotward/core/snapshot_tracker.hpp
+++ b/core/include/peridotward/core/snapshot_tracker.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/core/attempt.hpp>
 
+#include <compare>
 #include <optional>
 #include <vector>
 
@@ -15,31 +16,47 @@
     /// \brief Notes a report; an unknown range is ignored.
     void observe(upstream_index upstream, snapshot_range seen, time_point now);
 
-    /// \brief Forgets an upstream, for example when the bundle changes.
-    void clear() noexcept { seen_.clear(); }
+    /// \brief Keeps what is known under the indices of `next`; upstreams are
+    /// matched by id.
+    void rebase(const bundle* before, const bundle& next);
 
     /// \returns What `upstream` was last seen to serve.
     [[nodiscard]] snapshot_range at(upstream_index upstream) const noexcept;
 
-    /// \returns The newest snapshot that at least one admitted upstream of
-    /// each shard of `wanted` serves; where no snapshot serves all of them,
-    /// the newest among those that serve the most keys.
+    /// \returns The snapshot that covers the most keys of `wanted`; among
+    /// these the one whose keys have a second upstream to hedge to, then the
+    /// newest. Nothing when no upstream has told a snapshot.
+    ///
+    /// \remarks A choice is kept until a report changes what is known.
     [[nodiscard]] std::optional<snapshot_id>
-    choose(const bundle& in_force, const search& wanted) const;
+    choose(const bundle& in_force, search_index wanted) const;
 
 private:
-    struct sighting
+    /// Keys that a snapshot can be read for, and those with a spare upstream.
+    struct reach
     {
-        snapshot_range snapshots;
-        time_point seen;
+        std::uint64_t keys = 0;
+        std::uint64_t spare_keys = 0;
+
+        constexpr auto operator<=>(const reach&) const noexcept = default;
     };
 
-    [[nodiscard]] std::uint64_t covered_keys(
+    struct kept_choice
+    {
+        bundle_version version = 0;
+        bool valid = false;
+        std::optional<snapshot_id> snapshot;
+    };
+
+    [[nodiscard]] std::optional<snapshot_id>
+    find_best(const bundle& in_force, const search& wanted) const;
+    [[nodiscard]] reach reach_of(
         const bundle& in_force,
         const search& wanted,
         snapshot_id candidate) const;
 
-    std::vector<sighting> seen_;
+    std::vector<snapshot_range> seen_;
+    mutable std::vector<kept_choice> kept_;
 };
 
 } // namespace peridotward
--- a/core/src/query.cpp
+++ b/core/src/query.cpp
@@ -4,32 +4,63 @@
 
 namespace peridotward {
 
+namespace {
+
+constexpr unsigned attempt_number_bits = 16;
+constexpr std::uint64_t attempt_number_mask = (1U << attempt_number_bits) - 1;
+constexpr std::size_t spare_attempts = 16;
+constexpr microseconds redirect_backoff{500};
+constexpr milliseconds failure_backoff{2};
+constexpr milliseconds shed_backoff{10};
+constexpr milliseconds longest_backoff{100};
+constexpr unsigned most_doublings = 8;
+
+} // namespace
+
 query::query(query_start start) : start_{std::move(start)}
+{
+    plan_parts();
+    attempts_.reserve(parts_.size() + parts_.size() / 8 + spare_attempts);
+}
+
+void query::plan_parts()
 {
     const auto& wanted = start_.in_force->at(start_.search);
     const auto* map = start_.in_force->map_at(wanted.map, start_.snapshot);
+    plan_ = {};
     plan_.whole = wanted.range;
     if (map != nullptr)
         plan_ = make_plan(*map, wanted.range);
     else
         plan_.holes = {wanted.range};
-    parts_.resize(plan_.parts.size());
-    merged_.reserve(plan_.parts.size());
-    live_.reserve(plan_.parts.size());
+    parts_.assign(plan_.parts.size(), {});
+    due_.clear();
+    due_.reserve(2 * parts_.size() + spare_attempts);
+    merged_keys_ = 0;
+    open_parts_ = static_cast<std::uint32_t>(parts_.size());
 }
 
-void query::on_time(time_point now, query_actions& out)
+time_point query::next_wakeup() noexcept
 {
-    if (!finished_ && now >= start_.deadline) {
-        for (const auto& running : live_)
-            parts_[running.part].last = attempt_outcome::timed_out;
-        finish(out);
+    while (!due_.empty()) {
+        const auto& top = due_.top();
+        const auto& state = parts_[top.part];
+        if (!settled(state) && top.serial == state.serial)
+            return std::min(top.due, start_.deadline);
+        due_.pop();
     }
+    return start_.deadline;
+}
+
+void query::abandon(query_actions& out)
+{
+    if (!finished_)
+        finish(out);
 }
 
 double query::coverage() const noexcept
 {
-    return static_cast<double>(merged_.size()) /
+    return static_cast<double>(merged_keys_) /
            static_cast<double>(plan_.whole.size());
 }
 
@@ -51,18 +82,123 @@
     return gaps;
 }
 
-std::optional<query::live_attempt> query::take_live(attempt_id id)
+attempt_id query::id_of(std::uint64_t number) const noexcept
 {
-    const auto found = std::find_if(
-        live_.begin(), live_.end(), [&](const live_attempt& entry) {
-            return entry.id == id;
-        });
-    if (found == live_.end())
-        return std::nullopt;
-    const auto taken = *found;
-    *found = live_.back();
-    live_.pop_back();
-    return taken;
+    const auto query = static_cast<std::uint64_t>(start_.id);
+    return attempt_id{(query << attempt_number_bits) | number};
+}
+
+/// Returns 0 for an attempt of another query or one that has ended.
+std::uint64_t query::number_of(attempt_id id) const noexcept
+{
+    const auto number = static_cast<std::uint64_t>(id) & attempt_number_mask;
+    if (number == 0 || number > attempts_.size() || id != id_of(number) ||
+        !attempts_[number - 1].live)
+        return 0;
+    return number;
+}
+
+void query::note_end(
+    std::uint64_t number,
+    const attempt_result& ended,
+    hedge_budget& budget) noexcept
+{
+    auto& known = attempts_[number - 1];
+    known.live = false;
+    --live_;
+    sent_ = sent_ || ended.sent;
+    auto& state = parts_[known.part];
+    auto* const last = state.live.begin() + state.in_flight;
+    auto* const place = std::find(state.live.begin(), last, number);
+    *place = *(last - 1);
+    --state.in_flight;
+    if (!ended.sent) {
+        --state.tries;
+        ++state.redirects;
+        if (known.extra) {
+            --extras_;
+            budget.give_back();
+        }
+    }
+    else if (!state.earned) {
+        state.earned = true;
+        budget.on_first_sent();
+    }
+}
+
+void query::merge(std::uint32_t part, query_actions& out)
+{
+    auto& state = parts_[part];
+    state.merged = true;
+    --open_parts_;
+    merged_keys_ += plan_.parts[part].range.size();
+    cancel_live(part, out);
+}
+
+void query::give_up(std::uint32_t part) noexcept
+{
+    parts_[part].given_up = true;
+    --open_parts_;
+}
+
+void query::send(
+    std::uint32_t part,
+    attempt_kind kind,
+    upstream_index chosen,
+    query_actions& out)
+{
+    auto& state = parts_[part];
+    const bool hedge = kind == attempt_kind::hedge;
+    const bool extra = kind != attempt_kind::first;
+    attempts_.push_back({part, true, extra, hedge});
+    const auto number = static_cast<std::uint64_t>(attempts_.size());
+    state.tried[state.tried_count++] = chosen;
+    ++state.tries;
+    state.live[state.in_flight++] = static_cast<std::uint16_t>(number);
+    ++live_;
+    if (extra)
+        ++extras_;
+    out.send.push_back(attempt{
+        id_of(number),
+        start_.id,
+        part,
+        chosen,
+        plan_.parts[part].range,
+        start_.snapshot,
+        start_.deadline,
+        hedge});
+}
+
+void query::wake_at(std::uint32_t part, time_point due)
+{
+    due_.push({due, part, ++parts_[part].serial});
+}
+
+duration query::backoff(const part_state& part, random_source& random) const
+{
+    duration base = redirect_backoff;
+    if (part.last == attempt_outcome::shed)
+        base = shed_backoff;
+    else if (part.tries > 0)
+        base = failure_backoff;
+    const auto doublings =
+        std::min<unsigned>(part.tries + part.redirects, most_doublings);
+    const auto whole =
+        std::min<duration>(base * (1U << doublings), longest_backoff);
+    // Half of the pause is random, so that retries do not meet.
+    const auto jitter = static_cast<double>(whole.count()) * random.unit() / 2;
+    return whole / 2 + duration{static_cast<duration::rep>(jitter)};
+}
+
+void query::cancel_live(std::uint32_t part, query_actions& out)
+{
+    auto& state = parts_[part];
+    for (std::size_t i = 0; i < state.in_flight; ++i) {
+        attempts_[state.live[i] - 1U].live = false;
+        out.cancel.push_back(id_of(state.live[i]));
+    }
+    live_ -= state.in_flight;
+    state.in_flight = 0;
 }
 
 void query::finish_if_settled(query_actions& out)
@@ -72,16 +208,28 @@
     const auto& policy = start_.in_force->at(start_.search).policy;
     const bool enough = policy.prefer == search_preference::latency &&
                         coverage() >= start_.coverage_target;
-    if (live_.empty() || enough)
+    if (open_parts_ == 0 || enough)
         finish(out);
 }
 
+void query::finish_at_deadline(query_actions& out)
+{
+    for (auto& part : parts_) {
+        if (part.in_flight > 0)
+            part.last = attempt_outcome::timed_out;
+    }
+    finish(out);
+}
+
 void query::finish(query_actions& out)
 {
     finished_ = true;
-    for (const auto& running : live_)
-        out.cancel.push_back(running.id);
-    live_.clear();
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        auto& state = parts_[part];
+        if (state.in_flight > 0 && state.last == attempt_outcome::not_sent)
+            state.last = attempt_outcome::cancelled;
+        cancel_live(part, out);
+    }
     out.finished = true;
 }
 
--- a/core/src/snapshot_tracker.cpp
+++ b/core/src/snapshot_tracker.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/query_plan.hpp>
+#include <peridotward/core/bundle_translation.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 
 #include <algorithm>
@@ -7,63 +7,98 @@
 namespace peridotward {
 
 void snapshot_tracker::observe(
-    upstream_index upstream, snapshot_range seen, time_point now)
+    upstream_index upstream, snapshot_range seen, time_point)
 {
     if (!seen.known())
         return;
     if (seen_.size() <= upstream.position())
         seen_.resize(upstream.position() + 1);
-    seen_[upstream.position()] = {seen, now};
+    auto& current = seen_[upstream.position()];
+    if (current.oldest == seen.oldest && current.newest == seen.newest)
+        return;
+    current = seen;
+    kept_.clear();
+}
+
+void snapshot_tracker::rebase(const bundle* before, const bundle& next)
+{
+    std::vector<snapshot_range> moved(next.upstreams.size());
+    if (before != nullptr) {
+        const bundle_translation places{*before, next};
+        for (std::uint32_t i = 0; i < before->upstreams.size(); ++i) {
+            const auto place = places(upstream_index{i});
+            if (place.valid())
+                moved[place.position()] = at(upstream_index{i});
+        }
+    }
+    seen_ = std::move(moved);
+    kept_.clear();
 }
 
 snapshot_range snapshot_tracker::at(upstream_index upstream) const noexcept
 {
     if (upstream.position() >= seen_.size())
         return {};
-    return seen_[upstream.position()].snapshots;
+    return seen_[upstream.position()];
+}
+
+std::optional<snapshot_id>
+snapshot_tracker::choose(const bundle& in_force, search_index wanted) const
+{
+    if (kept_.size() <= wanted.position())
+        kept_.resize(wanted.position() + 1);
+    auto& kept = kept_[wanted.position()];
+    if (!kept.valid || kept.version != in_force.version) {
+        kept.snapshot = find_best(in_force, in_force.at(wanted));
+        kept.version = in_force.version;
+        kept.valid = true;
+    }
+    return kept.snapshot;
 }
 
 std::optional<snapshot_id>
-snapshot_tracker::choose(const bundle& in_force, const search& wanted) const
+snapshot_tracker::find_best(const bundle& in_force, const search& wanted) const
 {
     std::set<snapshot_id, std::greater<>> candidates;
-    for (const auto& sighting : seen_) {
-        if (!sighting.snapshots.known())
+    for (const auto& served : seen_) {
+        if (!served.known())
             continue;
-        candidates.insert(sighting.snapshots.newest);
-        candidates.insert(sighting.snapshots.oldest);
+        candidates.insert(served.newest);
+        candidates.insert(served.oldest);
     }
     std::optional<snapshot_id> best;
-    std::uint64_t best_keys = 0;
+    reach best_reach;
     for (const auto candidate : candidates) {
-        const auto keys = covered_keys(in_force, wanted, candidate);
-        if (keys > best_keys) {
+        const auto reached = reach_of(in_force, wanted, candidate);
+        if (reached > best_reach) {
             best = candidate;
-            best_keys = keys;
+            best_reach = reached;
         }
     }
     return best;
 }
 
-std::uint64_t snapshot_tracker::covered_keys(
+snapshot_tracker::reach snapshot_tracker::reach_of(
     const bundle& in_force, const search& wanted, snapshot_id candidate) const
 {
+    reach reached;
     const auto* map = in_force.map_at(wanted.map, candidate);
     if (map == nullptr)
-        return 0;
-    std::uint64_t keys = 0;
+        return reached;
     for (const auto& part : map->shards) {
         const auto needed = intersect(part.range, wanted.range);
         const auto& replicas = in_force.at(part.service).upstreams;
-        const bool served = std::any_of(
+        const auto serving = std::count_if(
             replicas.begin(), replicas.end(), [&](upstream_index replica) {
                 return in_force.admits(replica) &&
                        at(replica).contains(candidate);
             });
-        if (served)
-            keys += needed.size();
+        if (serving > 0)
+            reached.keys += needed.size();
+        if (serving > 1)
+            reached.spare_keys += needed.size();
     }
-    return keys;
+    return reached;
 }
 
 } // namespace peridotward
