--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -7,6 +7,15 @@
 #include <peridotward/core/hedge_budget.hpp>
 #include <peridotward/core/hedge_delay.hpp>
 #include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/domain_shares.hpp>
+#include <peridotward/core/electorate.hpp>
+#include <peridotward/core/entry_id.hpp>
+#include <peridotward/core/entry_router.hpp>
+#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/entry_window.hpp>
+#include <peridotward/core/fleet_timing.hpp>
+#include <peridotward/core/lease_controller.hpp>
+#include <peridotward/core/membership.hpp>
 #include <peridotward/core/peer_message.hpp>
 #include <peridotward/core/query.hpp>
 #include <peridotward/core/query_actions.hpp>
@@ -17,3 +26,5 @@
 #include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 #include <peridotward/core/wakeup_queue.hpp>
+#include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/warmth.hpp>
