Core: admit queries by search, priority and deadline

Cause: a query started at once, whatever the upstreams bore. Change: admission_lane with bounded queues, earliest deadline first, an adaptive concurrency limit and early refusal; one lane for each search. Not wired yet.

--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
 #include <peridotward/core/adaptive_replica.hpp>
+#include <peridotward/core/admission.hpp>
+#include <peridotward/core/admission_lane.hpp>
+#include <peridotward/core/admission_types.hpp>
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
 #include <peridotward/core/bundle_translation.hpp>
-#include <peridotward/core/hedge_budget.hpp>
-#include <peridotward/core/hedge_delay.hpp>
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/concurrency_limit.hpp>
 #include <peridotward/core/domain_shares.hpp>
 #include <peridotward/core/electorate.hpp>
 #include <peridotward/core/entry_id.hpp>
@@ -14,6 +15,9 @@
 #include <peridotward/core/entry_selector.hpp>
 #include <peridotward/core/entry_window.hpp>
 #include <peridotward/core/fleet_timing.hpp>
+#include <peridotward/core/hedge_budget.hpp>
+#include <peridotward/core/hedge_delay.hpp>
+#include <peridotward/core/latency_sketch.hpp>
 #include <peridotward/core/lease_controller.hpp>
 #include <peridotward/core/membership.hpp>
 #include <peridotward/core/peer_message.hpp>
@@ -25,6 +29,6 @@
 #include <peridotward/core/replica_policy.hpp>
 #include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
-#include <peridotward/core/wakeup_queue.hpp>
 #include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/wakeup_queue.hpp>
 #include <peridotward/core/warmth.hpp>
