--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -6,10 +6,10 @@
 #include <peridotward/core/admission_types.hpp>
 #include <peridotward/core/answer_check.hpp>
 #include <peridotward/core/attempt.hpp>
-#include <peridotward/core/config_read.hpp>
-#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/bundle_translation.hpp>
 #include <peridotward/core/concurrency_limit.hpp>
+#include <peridotward/core/config_read.hpp>
+#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/domain_shares.hpp>
 #include <peridotward/core/electorate.hpp>
 #include <peridotward/core/entry_id.hpp>
