--- a/instance/src/caller_api.cpp
+++ b/instance/src/caller_api.cpp
@@ -15,7 +15,7 @@
 
 caller_api::caller_api(
     node_state& state,
-    upstream_gateway& gateway,
+    record_port& records,
     attempt_port& port,
     answer_handler answer)
     : state_{&state},
@@ -33,7 +33,7 @@
           [this](exchange_id id, http_response response) {
               finish(id, std::move(response));
           }},
-      records_{state, gateway, [this](exchange_id id, http_response response) {
+      records_{state, records, [this](exchange_id id, http_response response) {
                    finish(id, std::move(response));
                }}
 {}
--- a/instance/src/caller_api.hpp
+++ b/instance/src/caller_api.hpp
@@ -17,7 +17,7 @@
 
     caller_api(
         node_state& state,
-        upstream_gateway& gateway,
+        record_port& records,
         attempt_port& port,
         answer_handler answer);
 
--- /dev/null
+++ b/instance/src/fleet_dump.cpp
@@ -0,0 +1,105 @@
+#include "fleet_dump.hpp"
+
+namespace peridotward {
+
+namespace {
+
+std::int64_t milliseconds_until(time_point end, time_point now)
+{
+    return std::chrono::duration_cast<milliseconds>(end - now).count();
+}
+
+json dump_members(const membership& members)
+{
+    json list = json::array();
+    for (const auto& [seat, known] : members.members())
+        list.push_back(
+            {{"seat", seat},
+             {"state", name_of(known.belief.state)},
+             {"ready", known.belief.ready},
+             {"incarnation", known.belief.incarnation},
+             {"domain", known.belief.domain},
+             {"bundle_version", known.config.version}});
+    return list;
+}
+
+json dump_lease(
+    const lease_view& lease, const lease_controller& leases, time_point now)
+{
+    json entry{{"phase", name_of(lease.phase)}, {"rank", lease.rank}};
+    if (leases.holds(lease.upstream, now))
+        entry["valid_ms"] = milliseconds_until(lease.valid_until, now);
+    if (!lease.granted_to.empty()) {
+        entry["vote_for"] = lease.granted_to;
+        entry["vote_ms"] = milliseconds_until(lease.granted_until, now);
+    }
+    return entry;
+}
+
+json dump_budget(const budget_view& budget)
+{
+    return {
+        {"limit", budget.limit},
+        {"slots", budget.slots},
+        {"in_flight", budget.in_flight},
+        {"warmth", name_of(budget.warmth)},
+        {"removed", budget.removed},
+        {"draining", budget.draining},
+    };
+}
+
+/// \returns Who holds each upstream that this instance votes on, and what its
+/// budget is here.
+json dump_upstreams(const fleet_runner& fleet, time_point now)
+{
+    const auto& leases = fleet.leases();
+    const auto& in_force = *leases.in_force();
+    json entries = json::object();
+    for (const auto& lease : leases.view()) {
+        json entry{
+            {"likely_owner", leases.likely_owner(lease.upstream, now)},
+            {"held_here", leases.holds(lease.upstream, now)},
+            {"lease", dump_lease(lease, leases, now)},
+            {"budget", dump_budget(fleet.budgets().view(lease.upstream, now))},
+        };
+        json voters = json::array();
+        for (const auto seat : leases.voters().of(lease.upstream).ranked())
+            voters.push_back(in_force.seats[seat.position()].id);
+        entry["voters"] = std::move(voters);
+        entries[in_force.at(lease.upstream).id] = std::move(entry);
+    }
+    return entries;
+}
+
+json dump_link(const peer_link_counts& counts)
+{
+    return {
+        {"frames_out", counts.frames_out},
+        {"bytes_out", counts.bytes_out},
+        {"frames_in", counts.frames_in},
+        {"bytes_in", counts.bytes_in},
+        {"refused", counts.refused},
+        {"invalid", counts.invalid},
+        {"dropped", counts.dropped},
+        {"connects", counts.connects},
+    };
+}
+
+} // namespace
+
+json dump_fleet(const fleet_runner& fleet)
+{
+    const auto now = fleet.state().loop.now();
+    json document{
+        {"incarnation", fleet.incarnation()},
+        {"superseded", fleet.members().superseded()},
+        {"leases_held", fleet.leases().held_count(now)},
+        {"members", dump_members(fleet.members())},
+        {"link", dump_link(fleet.link_counts())},
+    };
+    if (fleet.leases().in_force())
+        document["upstreams"] = dump_upstreams(fleet, now);
+    return document;
+}
+
+} // namespace peridotward
--- a/instance/src/fleet_runner.hpp
+++ b/instance/src/fleet_runner.hpp
@@ -9,6 +9,9 @@
 
 #include <array>
 #include <functional>
+#include <set>
+#include <string>
+#include <variant>
 #include <vector>
 
 namespace peridotward {
@@ -76,6 +79,7 @@
     void refuse(std::set<std::string> seats) { link_.refuse(std::move(seats)); }
 
     [[nodiscard]] node_state& state() noexcept { return *state_; }
+    [[nodiscard]] const node_state& state() const noexcept { return *state_; }
     [[nodiscard]] const membership& members() const noexcept
     {
         return members_;
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -1,9 +1,10 @@
 #include "caller_api.hpp"
-#include "direct_port.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
+#include "owner_desk.hpp"
+#include "owner_port.hpp"
 #include "platform_reader.hpp"
-#include "status_poller.hpp"
+#include "upstream_watch.hpp"
 
 #include <peridotward/base/clock.hpp>
 #include <peridotward/http/http_server.hpp>
@@ -45,17 +46,21 @@
     explicit impl(settings configured)
         : state{std::move(configured), time, process_seed()},
           gateway{state.loop},
-          port{state, gateway},
+          fleet{state},
+          executor{fleet, gateway},
+          desk{fleet, executor},
+          port{fleet, executor},
+          records{fleet, executor},
+          watch{fleet, gateway},
           callers{
               state,
-              gateway,
+              records,
               port,
               [this](exchange_id id, http_response response) {
                   caller_server.reply(id, std::move(response));
               }},
-          operators{state, callers},
+          operators{state, callers, fleet},
           platform{state},
-          poller{state, gateway},
           caller_server{
               options_of("callers", state.configured.callers),
               [this](exchange_id id, http_request request) {
@@ -83,11 +88,15 @@
     machine_clock time;
     node_state state;
     upstream_gateway gateway;
-    direct_port port;
+    fleet_runner fleet;
+    upstream_executor executor;
+    owner_desk desk;
+    owner_port port;
+    record_port records;
+    upstream_watch watch;
     caller_api callers;
     operator_api operators;
     platform_reader platform;
-    status_poller poller;
     http_server caller_server;
     http_server operator_server;
     std::atomic<int> stop_requests{0};
@@ -102,8 +111,9 @@
 
 result<void> node::start()
 {
-    return impl_->caller_server.start().and_then(
-        [&] { return impl_->operator_server.start(); });
+    return impl_->caller_server.start()
+        .and_then([&] { return impl_->operator_server.start(); })
+        .and_then([&] { return impl_->fleet.start(); });
 }
 
 void node::run()
@@ -116,8 +126,9 @@
          {"operators", configured.operators.address.text()},
          {"process", impl_->state.process}});
     impl_->platform.start();
-    impl_->poller.start();
+    impl_->fleet.begin();
     impl_->state.loop.run();
+    impl_->fleet.stop();
     impl_->caller_server.stop();
     impl_->operator_server.stop();
     log_event(log_level::info, "stopped");
@@ -147,7 +158,8 @@
 void node::impl::stop_when_idle()
 {
     const auto owed = caller_server.open_exchanges();
-    if (owed > 0 && state.loop.now() < stop_limit) {
+    const bool settled = owed == 0 && fleet.leases().released();
+    if (!settled && state.loop.now() < stop_limit) {
         state.loop.after(drain_check, [this] { stop_when_idle(); });
         return;
     }
--- a/instance/src/operator_api.cpp
+++ b/instance/src/operator_api.cpp
@@ -1,3 +1,4 @@
+#include "fleet_dump.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
 
@@ -7,6 +8,7 @@
 
 constexpr milliseconds retry_after{1000};
 constexpr std::string_view explain_prefix = "/v1/explain/";
+constexpr std::string_view link_filter_path = "/v1/test/link-filter";
 
 http_response refuse(error_kind kind, std::string message)
 {
@@ -56,6 +58,9 @@
         return explain(request.path.substr(explain_prefix.size()));
     if (request.path == "/v1/log-level" && request.method == "POST")
         return set_log_level(request);
+    const bool may_cut = state_->configured.peers.test_filter;
+    if (may_cut && request.path == link_filter_path && request.method == "POST")
+        return cut_links(request);
     if (request.path == "/v1/health/live") {
         response.body = R"({"live":true})";
         return response;
@@ -70,6 +75,28 @@
         request.method + " " + request.path + " does not exist");
 }
 
+/// Takes `{"refuse": [SEAT, ...]}`; an empty list mends all links.
+http_response operator_api::cut_links(const http_request& request) const
+{
+    const auto body = parse_json(request.body);
+    if (!body)
+        return refuse(error_kind::bad_request, body.error().message);
+    const auto wanted = body->is_object() ? body->value("refuse", json{}) : json{};
+    std::set<std::string> seats;
+    for (const auto& seat : wanted) {
+        if (!seat.is_string())
+            return refuse(
+                error_kind::bad_request,
+                "refuse: expected seats, found " + seat.dump());
+        seats.insert(seat.get<std::string>());
+    }
+    log_event(log_level::warn, "links_cut", {{"seats", seats.size()}});
+    http_response response;
+    response.body = json{{"refuse", seats}}.dump();
+    fleet_->refuse(std::move(seats));
+    return response;
+}
+
 http_response operator_api::state_dump(const http_request& request) const
 {
     auto document = dump();
@@ -117,6 +144,7 @@
         document["bundle"] = {
             {"version", state_->in_force->version},
             {"digest", state_->in_force->digest}};
+    document["fleet"] = dump_fleet(*fleet_);
     document["counters"] = state_->counted.counters();
     return document;
 }
--- a/instance/src/operator_api.hpp
+++ b/instance/src/operator_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller_api.hpp"
+#include "fleet_runner.hpp"
 
 namespace peridotward {
 
@@ -8,8 +9,9 @@
 class operator_api
 {
 public:
-    operator_api(node_state& state, const caller_api& callers)
-        : state_{&state}, callers_{&callers}
+    operator_api(
+        node_state& state, const caller_api& callers, fleet_runner& fleet)
+        : state_{&state}, callers_{&callers}, fleet_{&fleet}
     {}
 
     [[nodiscard]] http_response on_request(const http_request& request) const;
@@ -17,10 +19,12 @@
 private:
     [[nodiscard]] http_response state_dump(const http_request& request) const;
     [[nodiscard]] http_response explain(std::string_view request_id) const;
+    [[nodiscard]] http_response cut_links(const http_request& request) const;
     [[nodiscard]] json dump() const;
 
     node_state* state_;
     const caller_api* callers_;
+    fleet_runner* fleet_;
 };
 
 } // namespace peridotward
--- a/instance/src/record_runner.cpp
+++ b/instance/src/record_runner.cpp
@@ -39,16 +39,14 @@
     const auto chosen = pick(in_force, service);
     if (!chosen)
         return tl::unexpected{chosen.error()};
-    const auto name = state_->process + ".r" + std::to_string(++last_request_);
     state_->counted.count("fetches");
-    gateway_->fetch(
-        in_force.at(*chosen).address,
-        name,
-        key,
-        context.deadline - state_->loop.now(),
-        [this, context](shard_response response) {
-            on_fetched(context, std::move(response));
-        });
+    auto job = job_for(context, *chosen, record_action::fetch);
+    job.request_id =
+        state_->process + ".r" + std::to_string(++last_request_);
+    job.text = key;
+    port_->submit(std::move(job), [this, context](owned_result result) {
+        on_fetched(context, std::move(result));
+    });
     return {};
 }
 
@@ -67,21 +65,33 @@
     if (!chosen)
         return tl::unexpected{chosen.error()};
     state_->counted.count("appends");
-    const json body{{"request", context.request_id}, {"entry", *entry}};
-    gateway_->append(
-        in_force.at(*chosen).address,
-        context.request_id,
-        body.dump(),
-        context.deadline - state_->loop.now(),
-        [this, context](const shard_response& response) {
-            on_appended(context, response);
-        });
+    auto job = job_for(context, *chosen, record_action::append);
+    job.request_id = context.request_id;
+    job.text = json{{"request", context.request_id}, {"entry", *entry}}.dump();
+    port_->submit(std::move(job), [this, context](const owned_result& result) {
+        on_appended(context, result);
+    });
     return {};
 }
 
+record_job record_runner::job_for(
+    const request_context& context,
+    upstream_index upstream,
+    record_action action) const
+{
+    record_job job;
+    job.action = action;
+    job.in_force = context.in_force;
+    job.upstream = upstream;
+    job.priority = context.priority;
+    job.deadline = context.deadline;
+    return job;
+}
+
 void record_runner::on_fetched(
-    const request_context& context, shard_response response)
+    const request_context& context, owned_result result)
 {
+    auto& response = result.response;
     http_response answer;
     if (response.outcome == attempt_outcome::answered)
         answer.body = std::move(response.body);
@@ -101,12 +111,20 @@
 }
 
 void record_runner::on_appended(
-    const request_context& context, const shard_response& response)
+    const request_context& context, const owned_result& result)
 {
+    const auto& response = result.response;
     http_response answer;
     if (response.outcome == attempt_outcome::answered)
         answer.body =
             json{{"request_id", context.request_id}, {"stored", true}}.dump();
+    else if (result.duplicate || result.expired)
+        answer = refusal(
+            {result.duplicate ? error_kind::duplicate_request
+                              : error_kind::request_id_expired,
+             context.request_id},
+            context.request_id,
+            retry_after);
     else
         answer = refusal(
             {response.sent ? error_kind::outcome_unknown
--- a/instance/src/record_runner.hpp
+++ b/instance/src/record_runner.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "record_port.hpp"
 #include "request_context.hpp"
-#include "upstream_gateway.hpp"
 
 #include <functional>
 
@@ -14,8 +14,8 @@
     using answer_handler = std::function<void(exchange_id, http_response)>;
 
     record_runner(
-        node_state& state, upstream_gateway& gateway, answer_handler answer)
-        : state_{&state}, gateway_{&gateway}, answer_{std::move(answer)}
+        node_state& state, record_port& port, answer_handler answer)
+        : state_{&state}, port_{&port}, answer_{std::move(answer)}
     {}
 
     [[nodiscard]] result<void> fetch(
@@ -28,12 +28,16 @@
 private:
     [[nodiscard]] result<upstream_index>
     pick(const bundle& in_force, service_index service);
-    void on_fetched(const request_context& context, shard_response response);
+    [[nodiscard]] record_job job_for(
+        const request_context& context,
+        upstream_index upstream,
+        record_action action) const;
+    void on_fetched(const request_context& context, owned_result result);
     void
-    on_appended(const request_context& context, const shard_response& response);
+    on_appended(const request_context& context, const owned_result& result);
 
     node_state* state_;
-    upstream_gateway* gateway_;
+    record_port* port_;
     answer_handler answer_;
     std::uint64_t last_request_ = 0;
 };
