Wire admission, adaptive replicas and hedges into searches

Cause: searches ran without admission, on random replicas, and a change of the bundle forgot what upstreams had told.

--- a/core/src/query.cpp
+++ b/core/src/query.cpp
@@ -197,6 +197,8 @@
         attempts_[state.live[i] - 1U].live = false;
         out.cancel.push_back(id_of(state.live[i]));
     }
+    // Bytes of a withdrawn attempt may have left.
+    sent_ = sent_ || state.in_flight > 0;
     live_ -= state.in_flight;
     state.in_flight = 0;
 }
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -8,6 +8,8 @@
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
 #include <peridotward/config/settings.hpp>
+#include <peridotward/core/hedge_budget.hpp>
+#include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 
 #include <string>
@@ -34,10 +36,20 @@
     bundle_ptr in_force; ///< Null until a bundle is accepted.
     instance_list listed;
     snapshot_tracker snapshots;
+    replica_stats replicas;
+    hedge_budget extras;                         ///< For hedges and retries.
     std::unordered_set<std::string> running_ids; ///< Callers' request ids.
     recent_queries recent;
     bool leaving = false;
 
+    /// Puts `next` in force; what is known of upstreams is kept.
+    void put_in_force(bundle_ptr next)
+    {
+        snapshots.rebase(in_force.get(), *next);
+        replicas.rebase(in_force.get(), *next);
+        in_force = std::move(next);
+    }
+
     /// \returns Whether the instance can serve, else the reason.
     [[nodiscard]] std::string not_ready_reason() const
     {
--- a/instance/src/platform_reader.cpp
+++ b/instance/src/platform_reader.cpp
@@ -74,8 +74,7 @@
     const auto& current = state_->in_force;
     if (current && (*parsed)->version <= current->version)
         return;
-    state_->in_force = *parsed;
-    state_->snapshots.clear();
+    state_->put_in_force(*parsed);
     state_->counted.count("bundles_accepted");
     log_event(
         log_level::info,
--- /dev/null
+++ b/instance/src/running_search.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "attempt_port.hpp"
+#include "query_trace.hpp"
+#include "request_context.hpp"
+#include "search_arguments.hpp"
+
+#include <peridotward/core/query.hpp>
+
+#include <string>
+#include <vector>
+
+namespace peridotward {
+
+/// A search that waits for admission.
+struct waiting_search
+{
+    request_context context;
+    search_index wanted;
+    search_arguments arguments;
+};
+
+/// One search between its admission and its answer.
+struct running_search
+{
+    request_context context;
+    double minimum_coverage = 0;
+    std::string lane; ///< Id of the search.
+    time_point started;
+    search_job job;
+    query state;
+    std::vector<json> records;        ///< One array for each part of the plan.
+    std::vector<attempt_trace> trace; ///< By the number of the attempt.
+    std::uint32_t refused = 0;        ///< Attempts that met no free slot.
+    time_point armed = time_point::max(); ///< Earliest timer that is set.
+
+    /// \returns The share of attempts that met no free slot, in [0, 1].
+    [[nodiscard]] double refused_share() const noexcept
+    {
+        const auto attempts = state.attempts();
+        return attempts == 0 ? 0.0 : static_cast<double>(refused) / attempts;
+    }
+};
+
+/// \returns The answer to the caller; takes the records.
+[[nodiscard]] http_response render_answer(running_search& run);
+
+/// \returns What operators may ask of the finished search; takes the trace.
+[[nodiscard]] query_trace
+trace_of(running_search& run, const http_response& response, time_point now);
+
+} // namespace peridotward
--- a/instance/src/search_runner.cpp
+++ b/instance/src/search_runner.cpp
@@ -1,46 +1,46 @@
 #include "log.hpp"
 #include "search_runner.hpp"
 
+#include <peridotward/core/adaptive_replica.hpp>
 #include <peridotward/core/answer_check.hpp>
-#include <peridotward/core/random_replica.hpp>
 
 namespace peridotward {
 
 namespace {
 
-constexpr milliseconds retry_after{100};
-constexpr std::uint16_t http_partial = 206;
+constexpr std::uint64_t attempt_number_mask = 0xffff;
 
-result<double> minimum_coverage(const json& body)
+std::uint64_t key_of(query_id id) noexcept
 {
-    const auto found = body.find("minimum_coverage");
-    if (found == body.end())
-        return 0.0;
-    if (!found->is_number() || found->get<double>() < 0 ||
-        found->get<double>() > 1)
-        return fail(
-            error_kind::bad_request,
-            "minimum_coverage: expected 0..1, found " + found->dump());
-    return found->get<double>();
+    return static_cast<std::uint64_t>(id);
 }
 
-result<std::string> criteria_of(const json& body)
+std::uint64_t key_of(attempt_id id) noexcept
 {
-    const auto found = body.find("criteria");
-    if (found == body.end())
-        return std::string{"{}"};
-    if (!found->is_object())
-        return fail(
-            error_kind::bad_request,
-            "criteria: expected an object, found " + found->dump());
-    return found->dump();
+    return static_cast<std::uint64_t>(id);
+}
+
+bool met_no_slot(attempt_outcome outcome) noexcept
+{
+    return outcome == attempt_outcome::shed ||
+           outcome == attempt_outcome::not_sent;
 }
 
 } // namespace
 
 search_runner::search_runner(
     node_state& state, attempt_port& port, answer_handler answer)
-    : state_{&state}, port_{&port}, answer_{std::move(answer)}
+    : state_{&state},
+      port_{&port},
+      answer_{std::move(answer)},
+      queue_{
+          state,
+          [this](std::uint64_t id, waiting_search wanted) {
+              begin(id, std::move(wanted));
+          },
+          [this](exchange_id exchange, http_response response) {
+              answer_(exchange, std::move(response));
+          }}
 {
     port_->on_end([this](const attempt& ended, shard_response response) {
         on_response(ended, std::move(response));
@@ -49,87 +49,229 @@
 
 result<void> search_runner::start(request_context context, search_index wanted)
 {
-    const auto minimum = minimum_coverage(context.body);
-    if (!minimum)
-        return tl::unexpected{minimum.error()};
-    auto criteria = criteria_of(context.body);
-    if (!criteria)
-        return tl::unexpected{criteria.error()};
-    if (running_.size() >= state_->configured.limits.max_queries)
+    auto arguments = parse_search_arguments(context.body);
+    if (!arguments)
+        return tl::unexpected{arguments.error()};
+    if (running_.size() + queue_.waiting() >=
+        state_->configured.limits.max_queries)
         return fail(error_kind::overloaded, "too many queries are running");
     const auto& definition = context.in_force->at(wanted);
-    const auto snapshot =
-        state_->snapshots.choose(*context.in_force, definition);
-    if (!snapshot)
-        return fail(
-            error_kind::snapshot_unavailable,
-            "no upstream of search \"" + definition.id +
-                "\" has told its snapshots");
     context.deadline = std::min<time_point>(
         context.deadline, context.arrived + definition.policy.max_deadline);
+    queue_.arrive(
+        ++last_query_, {std::move(context), wanted, std::move(*arguments)});
+    return {};
+}
+
+void search_runner::begin(std::uint64_t id, waiting_search wanted)
+{
+    auto& context = wanted.context;
+    const auto& definition = context.in_force->at(wanted.wanted);
+    const bool current = context.in_force == state_->in_force;
+    // Indices of an older bundle mean nothing to the tracker, so the search
+    // is looked up again.
+    const auto search =
+        current ? wanted.wanted : state_->in_force->find_search(definition.id);
+    const auto snapshot =
+        search.valid() ? state_->snapshots.choose(*state_->in_force, search)
+                       : std::nullopt;
+    const auto now = state_->loop.now();
+    if (!snapshot) {
+        answer_(
+            context.exchange,
+            refusal(
+                {error_kind::snapshot_unavailable,
+                 "no upstream of search \"" + definition.id +
+                     "\" has told its snapshots"},
+                context.request_id,
+                milliseconds{100}));
+        queue_.on_finished(definition, now, 0);
+        return;
+    }
     query_start start;
-    start.id = query_id{++last_query_};
+    start.id = query_id{id};
     start.in_force = context.in_force;
-    start.search = wanted;
+    start.search = wanted.wanted;
     start.snapshot = *snapshot;
     start.deadline = context.deadline;
     start.coverage_target = definition.policy.coverage_target;
     search_job job{
-        start.id, start.in_force, std::move(*criteria), context.priority};
-    auto run = std::make_unique<running_search>(running_search{
-        std::move(context), *minimum, std::move(job), query{start}, {}, {}});
-    run->records.resize(run->state.plan().parts.size());
-    auto& running = *run;
-    running_.emplace(last_query_, std::move(run));
+        start.id,
+        start.in_force,
+        std::move(wanted.arguments.criteria),
+        context.priority};
+    auto owned = std::make_unique<running_search>(running_search{
+        std::move(context),
+        wanted.arguments.minimum_coverage,
+        definition.id,
+        now,
+        std::move(job),
+        query{start},
+        {},
+        {}});
+    auto& run = *owned;
+    running_.emplace(id, std::move(owned));
+    run.records.resize(run.state.plan().parts.size());
     state_->counted.count("queries");
-    state_->loop.at(start.deadline, [this, id = start.id] { on_deadline(id); });
     query_actions actions;
-    random_replica policy{*running.context.in_force, state_->random};
-    running.state.begin(policy, state_->loop.now(), actions);
-    carry_out(running, actions);
-    return {};
+    decide(start.in_force, [&](auto policy) {
+        run.state.begin(policy, now, actions);
+    });
+    carry_out(run, actions);
 }
 
 void search_runner::caller_gone(exchange_id exchange)
 {
+    if (queue_.caller_gone(exchange)) {
+        state_->counted.count("callers_gone");
+        return;
+    }
     for (auto it = running_.begin(); it != running_.end(); ++it) {
         auto& run = *it->second;
         if (run.context.exchange != exchange)
             continue;
-        std::vector<attempt_id> abandoned;
-        for (const auto& [id, wanted] : run.sent)
-            abandoned.push_back(wanted.id);
-        port_->cancel(abandoned);
+        query_actions actions;
+        run.state.abandon(actions);
+        port_->cancel(actions.cancel);
         state_->counted.count("callers_gone");
+        const auto ended = std::move(it->second);
         running_.erase(it);
+        release(*ended);
         return;
     }
 }
 
+template<class Work>
+void search_runner::decide(const bundle_ptr& planned, Work work)
+{
+    const auto* translation = translation_from(planned);
+    const auto& current = *state_->in_force;
+    adaptive_replica replica{
+        *planned,
+        current,
+        state_->replicas,
+        state_->snapshots,
+        current.find_domain(state_->configured.instance.domain),
+        state_->random,
+        translation};
+    const adaptive_delay hedge{state_->replicas, translation};
+    work(query_policy<adaptive_replica, adaptive_delay>{
+        &replica, &hedge, &state_->extras, &state_->random});
+}
+
+const bundle_translation*
+search_runner::translation_from(const bundle_ptr& planned)
+{
+    if (planned == state_->in_force)
+        return nullptr;
+    if (planned != translated_from_ || state_->in_force != translated_to_) {
+        translated_from_ = planned;
+        translated_to_ = state_->in_force;
+        translation_ =
+            std::make_unique<bundle_translation>(*planned, *translated_to_);
+    }
+    return translation_.get();
+}
+
 void search_runner::carry_out(running_search& run, query_actions& actions)
 {
-    for (const auto& wanted : actions.send)
-        run.sent.emplace(static_cast<std::uint64_t>(wanted.id), wanted);
-    state_->counted.count("attempts", actions.send.size());
-    state_->counted.count("attempts_cancelled", actions.cancel.size());
-    port_->send(run.job, actions.send);
+    if (actions.snapshot_lost && !actions.finished)
+        try_newer_snapshot(run, actions);
+    hand_over(run, actions.send);
     port_->cancel(actions.cancel);
+    state_->counted.count("attempts_cancelled", actions.cancel.size());
     if (actions.finished)
         finish(run);
+    else
+        arm(run);
 }
 
-void search_runner::on_response(const attempt& ended, shard_response response)
+void search_runner::hand_over(
+    running_search& run, std::span<const attempt> attempts)
 {
-    const auto found = running_.find(static_cast<std::uint64_t>(ended.query));
-    if (found == running_.end()) {
-        state_->counted.count("late_answers");
+    if (attempts.empty())
         return;
+    const auto now = state_->loop.now();
+    const auto& planned = run.context.in_force;
+    const auto* translation = translation_from(planned);
+    for (const auto& wanted : attempts) {
+        outstanding_.emplace(
+            key_of(wanted.id), outstanding_attempt{planned, now});
+        const auto known =
+            translation ? (*translation)(wanted.upstream) : wanted.upstream;
+        if (known.valid())
+            state_->replicas.on_sent(known);
+        run.trace.push_back(
+            {wanted.part,
+             planned->at(wanted.upstream).id,
+             wanted.hedge,
+             false,
+             attempt_outcome::not_sent,
+             std::chrono::duration_cast<microseconds>(
+                 now - run.context.arrived),
+             {}});
+        if (wanted.hedge)
+            state_->counted.count("hedges");
     }
+    state_->counted.count("attempts", attempts.size());
+    port_->send(run.job, attempts);
+}
+
+void search_runner::try_newer_snapshot(
+    running_search& run, query_actions& actions)
+{
+    if (run.context.in_force != state_->in_force)
+        return;
+    const auto newer =
+        state_->snapshots.choose(*state_->in_force, run.state.start().search);
+    bool started = false;
+    decide(run.context.in_force, [&](auto policy) {
+        started = newer &&
+                  run.state.replan(*newer, policy, state_->loop.now(), actions);
+    });
+    if (!started)
+        return;
+    run.records.assign(run.state.plan().parts.size(), json{});
+    state_->counted.count("replans");
+}
+
+void search_runner::arm(running_search& run)
+{
+    const auto due = run.state.next_wakeup();
+    if (due >= run.armed)
+        return;
+    run.armed = due;
+    const auto id = key_of(run.state.start().id);
+    state_->loop.at(due, [this, id] { on_wakeup(id); });
+}
+
+void search_runner::on_wakeup(std::uint64_t id)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end())
+        return;
     auto& run = *found->second;
-    run.sent.erase(static_cast<std::uint64_t>(ended.id));
-    const auto& in_force = *run.context.in_force;
+    const auto now = state_->loop.now();
+    if (now >= run.armed)
+        run.armed = time_point::max();
+    query_actions actions;
+    decide(run.context.in_force, [&](auto policy) {
+        run.state.on_time(policy, now, actions);
+    });
+    carry_out(run, actions);
+}
+
+void search_runner::on_response(const attempt& ended, shard_response response)
+{
+    const auto sent = outstanding_.extract(key_of(ended.id));
+    if (sent.empty())
+        return;
+    const auto planned = sent.mapped().in_force;
+    const auto now = state_->loop.now();
+    const auto found = running_.find(key_of(ended.query));
     json body;
-    if (response.outcome == attempt_outcome::answered) {
+    if (response.outcome == attempt_outcome::answered &&
+        found != running_.end()) {
         auto parsed = parse_json(response.body);
         if (parsed)
             body = std::move(*parsed);
@@ -137,100 +279,95 @@
         response.outcome = check_answer(
             body,
             {name,
-             in_force.service_of(ended.upstream).id,
+             planned->service_of(ended.upstream).id,
              ended.range,
              ended.snapshot});
     }
-    if (run.context.in_force == state_->in_force)
-        state_->snapshots.observe(
-            ended.upstream, response.report.snapshots, state_->loop.now());
-    attempt_result result;
-    result.id = ended.id;
-    result.outcome = response.outcome;
-    result.sent = response.sent;
-    result.report = response.report;
-    result.elapsed = response.elapsed;
+    const attempt_result result{
+        ended.id,
+        response.outcome,
+        response.sent,
+        response.report,
+        now - sent.mapped().sent_at,
+        response.free_slots};
+    observe(ended, result, planned);
+    if (found == running_.end()) {
+        state_->counted.count("late_answers");
+        return;
+    }
+    auto& run = *found->second;
+    note_trace(run, result);
     query_actions actions;
-    random_replica policy{in_force, state_->random};
-    const bool merged =
-        run.state.on_result(result, policy, state_->loop.now(), actions);
+    bool merged = false;
+    decide(planned, [&](auto policy) {
+        merged = run.state.on_result(result, policy, now, actions);
+    });
     if (merged)
         run.records[ended.part] = std::move(body["records"]);
     carry_out(run, actions);
 }
 
-void search_runner::on_deadline(query_id id)
+void search_runner::observe(
+    const attempt& ended,
+    const attempt_result& result,
+    const bundle_ptr& planned)
 {
-    const auto found = running_.find(static_cast<std::uint64_t>(id));
-    if (found == running_.end())
+    state_->counted.count(
+        "attempt_outcome_" + std::string{name_of(result.outcome)});
+    state_->extras.on_ended(result.outcome);
+    const auto* translation = translation_from(planned);
+    const auto known =
+        translation ? (*translation)(ended.upstream) : ended.upstream;
+    if (!known.valid())
         return;
-    query_actions actions;
-    found->second->state.on_time(state_->loop.now(), actions);
-    carry_out(*found->second, actions);
+    const auto now = state_->loop.now();
+    state_->snapshots.observe(known, result.report.snapshots, now);
+    state_->replicas.on_ended(
+        known, state_->in_force->at(known).service, result, now);
+}
+
+void search_runner::note_trace(
+    running_search& run, const attempt_result& result)
+{
+    if (met_no_slot(result.outcome))
+        ++run.refused;
+    const auto number = key_of(result.id) & attempt_number_mask;
+    if (number == 0 || number > run.trace.size())
+        return;
+    auto& trace = run.trace[number - 1];
+    trace.ended = true;
+    trace.outcome = result.outcome;
+    trace.ended_at = std::chrono::duration_cast<microseconds>(
+        state_->loop.now() - run.context.arrived);
 }
 
 void search_runner::finish(running_search& run)
 {
-    const auto id = static_cast<std::uint64_t>(run.state.start().id);
-    const auto elapsed = state_->loop.now() - run.context.arrived;
+    const auto id = key_of(run.state.start().id);
+    const auto now = state_->loop.now();
+    const auto elapsed = now - run.context.arrived;
     state_->counted.latency("query", elapsed);
-    auto response = render(run);
+    auto response = render_answer(run);
     log_event(
         log_level::debug,
-        "query_done",
+        "query_finished",
         {{"request", run.context.request_id},
-         {"query", id},
          {"status", response.status},
-         {"version", run.context.in_force->version},
+         {"coverage", std::to_string(run.state.coverage())},
          {"attempts", run.state.attempts()},
          {"elapsed_us",
           std::chrono::duration_cast<microseconds>(elapsed).count()}});
+    state_->recent.add(trace_of(run, response, now));
     answer_(run.context.exchange, std::move(response));
-    running_.erase(id);
-}
-
-http_response search_runner::render(running_search& run) const
-{
-    const auto coverage = run.state.coverage();
-    if (coverage <= 0 || coverage < run.minimum) {
-        auto kind = error_kind::coverage_too_low;
-        if (!run.state.anything_sent())
-            kind = error_kind::no_capacity;
-        return refusal(
-            {kind,
-             "coverage is " + std::to_string(coverage) + ", wanted " +
-                 std::to_string(run.minimum)},
-            run.context.request_id,
-            retry_after);
-    }
-    json missing = json::array();
-    for (const auto& gap : run.state.missing())
-        missing.push_back(
-            {{"range", {gap.range.first, gap.range.last}},
-             {"reason", name_of(gap.reason)}});
-    json records = json::array();
-    for (auto& part : run.records) {
-        for (auto& record : part)
-            records.push_back(std::move(record));
-    }
-    const bool complete = missing.empty();
-    const json body{
-        {"request_id", run.context.request_id},
-        {"answer", complete ? "complete" : "partial"},
-        {"snapshot", run.state.start().snapshot},
-        {"bundle_version", run.context.in_force->version},
-        {"coverage", {{"fraction", coverage}, {"missing", missing}}},
-        {"records", std::move(records)},
-        {"attempts", run.state.attempts()},
-        {"shards", run.state.plan().parts.size()},
-    };
-    http_response response;
-    response.status = complete ? 200 : http_partial;
-    response.headers = {
-        {"Coverage", std::to_string(coverage)},
-        {"Answer", complete ? "complete" : "partial"}};
-    response.body = body.dump();
-    return response;
+    const auto ended = std::move(running_.extract(id).mapped());
+    release(*ended);
+}
+
+void search_runner::release(const running_search& run)
+{
+    const auto& start = run.state.start();
+    queue_.on_finished(
+        start.in_force->at(start.search), run.started, run.refused_share());
 }
 
 } // namespace peridotward
--- a/instance/src/search_runner.hpp
+++ b/instance/src/search_runner.hpp
@@ -1,29 +1,15 @@
 #pragma once
 
-#include "attempt_port.hpp"
-#include "request_context.hpp"
+#include "search_queue.hpp"
 
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/bundle_translation.hpp>
 
 #include <functional>
 #include <memory>
-#include <string>
 #include <unordered_map>
-#include <vector>
 
 namespace peridotward {
 
-/// One search between its request and its answer.
-struct running_search
-{
-    request_context context;
-    double minimum = 0;
-    search_job job;
-    query state;
-    std::unordered_map<std::uint64_t, attempt> sent;
-    std::vector<json> records; ///< One array for each part of the plan.
-};
-
 /// Runs searches: carries the decisions of `query` to upstreams and back.
 class search_runner
 {
@@ -32,7 +18,7 @@
 
     search_runner(node_state& state, attempt_port& port, answer_handler answer);
 
-    /// Starts a search, or answers with a refusal at once.
+    /// Takes a search: it starts, waits, or is answered with a refusal.
     [[nodiscard]] result<void>
     start(request_context context, search_index wanted);
 
@@ -43,19 +29,50 @@
     {
         return running_.size();
     }
+    [[nodiscard]] const search_queue& queue() const noexcept { return queue_; }
 
 private:
+    /// What is kept of an attempt until its end, also beyond its query's.
+    struct outstanding_attempt
+    {
+        bundle_ptr in_force;
+        time_point sent_at;
+    };
+
+    void begin(std::uint64_t id, waiting_search wanted);
+    void arm(running_search& run);
+    void on_wakeup(std::uint64_t id);
     void carry_out(running_search& run, query_actions& actions);
+    void hand_over(running_search& run, std::span<const attempt> attempts);
     void on_response(const attempt& ended, shard_response response);
-    void on_deadline(query_id id);
+    void observe(
+        const attempt& ended,
+        const attempt_result& result,
+        const bundle_ptr& planned);
+    void note_trace(running_search& run, const attempt_result& result);
+    void try_newer_snapshot(running_search& run, query_actions& actions);
     void finish(running_search& run);
-    [[nodiscard]] http_response render(running_search& run) const;
+    void release(const running_search& run);
+
+    /// Calls `work` with the policy for a query under `planned`.
+    template<class Work>
+    void decide(const bundle_ptr& planned, Work work);
+
+    /// \returns The way from `planned` to the bundle in force, or null when
+    /// they are the same.
+    [[nodiscard]] const bundle_translation*
+    translation_from(const bundle_ptr& planned);
 
     node_state* state_;
     attempt_port* port_;
     answer_handler answer_;
+    search_queue queue_;
     std::uint64_t last_query_ = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<running_search>> running_;
+    std::unordered_map<std::uint64_t, outstanding_attempt> outstanding_;
+    bundle_ptr translated_from_;
+    bundle_ptr translated_to_;
+    std::unique_ptr<bundle_translation> translation_;
 };
 
 } // namespace peridotward
--- a/instance/src/status_poller.cpp
+++ b/instance/src/status_poller.cpp
@@ -23,9 +23,12 @@
         gateway_->status(
             in_force->at(index).address,
             [this, index, in_force](const shard_response& response) {
-                if (state_->in_force == in_force)
-                    state_->snapshots.observe(
-                        index, response.report.snapshots, state_->loop.now());
+                if (state_->in_force != in_force)
+                    return;
+                const auto now = state_->loop.now();
+                const auto& report = response.report;
+                state_->snapshots.observe(index, report.snapshots, now);
+                state_->replicas.on_report(index, report, now);
             });
     }
     state_->loop.after(poll_interval, [this] { poll_all(); });
--- a/instance/src/upstream_gateway.hpp
+++ b/instance/src/upstream_gateway.hpp
@@ -6,6 +6,7 @@
 #include <peridotward/core/attempt.hpp>
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace peridotward {
@@ -30,6 +31,7 @@
     std::uint16_t status = 0; ///< HTTP status, 0 without an answer.
     upstream_report report;
     duration elapsed{};
+    std::optional<std::uint32_t> free_slots; ///< As told by the owner.
     std::string body;
 };
 
