Core: fuzz and tests of the configuration store in virtual time

Change: a virtual fleet with a service, a link, pauses and partitions; tests by feature and a stateful fuzz with two fixed seeds.

--- /dev/null
+++ b/core/tests/config_fuzz_test.cpp
@@ -0,0 +1,244 @@
+#include "config_publisher.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace peridotward;
+using namespace peridotward::testing;
+
+namespace {
+
+constexpr int seats = 6;
+constexpr duration heal_limit = seconds{12};
+constexpr duration spread_limit = seconds{3};
+
+enum class step_kind : std::uint8_t
+{
+    publish,
+    publish_older,
+    fork,
+    service_down,
+    service_up,
+    stale,
+    fresh,
+    lose_part,
+    restart,
+    pause,
+    wake,
+    partition,
+    rejoin,
+};
+
+constexpr int step_kinds = 13;
+
+struct step
+{
+    step_kind kind = step_kind::publish;
+    std::uint8_t member = 0;
+    std::uint16_t wait_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const step& which)
+{
+    return out << static_cast<int>(which.kind) << ":" << int{which.member}
+               << "+" << which.wait_ms;
+}
+
+rc::Gen<step> any_step()
+{
+    return rc::gen::build<step>(
+        rc::gen::set(
+            &step::kind,
+            rc::gen::map(
+                rc::gen::inRange(0, step_kinds),
+                [](int kind) { return static_cast<step_kind>(kind); })),
+        rc::gen::set(&step::member, rc::gen::inRange<std::uint8_t>(0, seats)),
+        rc::gen::set(&step::wait_ms, rc::gen::inRange<std::uint16_t>(0, 4000)));
+}
+
+/// Carries out steps and checks what must hold after each event.
+class config_oracle
+{
+public:
+    config_oracle()
+        : publisher_{{4, 3, seats, 3}}, fleet_{seats, publisher_.policy(), 11}
+    {
+        fleet_.on_accept = [this](const auto& who, const auto& accepted) {
+            on_accept(who, *accepted);
+        };
+        publisher_.publish(fleet_, version_);
+        fleet_.start_all();
+    }
+
+    void take(const step& next)
+    {
+        auto& member = *fleet_.members()[next.member];
+        switch (next.kind) {
+        case step_kind::publish:
+            publisher_.publish(fleet_, ++version_);
+            break;
+        case step_kind::publish_older:
+            publisher_.publish(
+                fleet_, std::max<bundle_version>(1, version_ - 1), 1);
+            forked_ = true;
+            break;
+        case step_kind::fork:
+            publisher_.publish(fleet_, version_, 2);
+            forked_ = true;
+            break;
+        case step_kind::service_down:
+        case step_kind::service_up:
+            fleet_.service.down = next.kind == step_kind::service_down;
+            break;
+        case step_kind::stale:
+        case step_kind::fresh:
+            fleet_.service.stale = next.kind == step_kind::stale;
+            break;
+        case step_kind::lose_part:
+            lose_part(next.member);
+            break;
+        case step_kind::restart:
+            lives_[member.seat] = 0;
+            settled_[member.seat] = false;
+            fleet_.start(member);
+            break;
+        case step_kind::pause:
+            fleet_.pause(member);
+            break;
+        case step_kind::wake:
+            fleet_.resume(member);
+            break;
+        case step_kind::partition:
+        case step_kind::rejoin:
+            member.side = next.kind == step_kind::partition ? 1 : 0;
+            break;
+        }
+        run(milliseconds{next.wait_ms});
+    }
+
+    /// Ends all faults and expects one version everywhere in time.
+    void heal()
+    {
+        fleet_.service.down = false;
+        fleet_.service.stale = false;
+        fleet_.service.lost.clear();
+        for (auto& member : fleet_.members()) {
+            member->side = 0;
+            fleet_.resume(*member);
+        }
+        if (forked_) {
+            run(seconds{1});
+            publisher_.publish(fleet_, ++version_);
+        }
+        run(heal_limit);
+        expect_everywhere();
+        publisher_.publish(fleet_, ++version_);
+        run(spread_limit);
+        expect_everywhere();
+    }
+
+private:
+    void lose_part(std::size_t position)
+    {
+        const auto& newest = fleet_.service.history.back().text;
+        const auto root = parse_manifest(newest).value();
+        const auto& list = root.parts[position % root.parts.size()];
+        fleet_.service.lost.insert(list.digest);
+    }
+
+    void on_accept(const config_fleet::member& who, const bundle& accepted)
+    {
+        auto& last = lives_[who.seat];
+        RC_ASSERT(accepted.version > last);
+        last = accepted.version;
+        RC_ASSERT(publisher_.published(accepted));
+    }
+
+    void run(duration span)
+    {
+        constexpr duration slice = milliseconds{50};
+        for (duration passed{0}; passed < span; passed += slice) {
+            fleet_.run(std::min(slice, span - passed));
+            for (auto& member : fleet_.members())
+                check_settling(*member);
+        }
+    }
+
+    /// An instance that begins to serve knows what most seats had in force.
+    void check_settling(config_fleet::member& member)
+    {
+        const bool now = !member.paused && member.store->settled(fleet_.now());
+        const bool before = std::exchange(settled_[member.seat], now);
+        if (!now || before || !enough_near(member))
+            return;
+        RC_ASSERT(member.store->in_force()->version >= majority_version());
+    }
+
+    /// Whether enough others can be heard; else only the bounded wait holds.
+    bool enough_near(const config_fleet::member& from)
+    {
+        const auto& members = fleet_.members();
+        const auto near = std::count_if(
+            members.begin(), members.end(), [&](const auto& other) {
+                return other->seat != from.seat && !other->paused &&
+                       other->side == from.side && settled_[other->seat];
+            });
+        return near >= seats / 2;
+    }
+
+    /// The highest version that most seats had in force a little earlier.
+    bundle_version majority_version()
+    {
+        std::vector<bundle_version> held;
+        for (const auto& member : fleet_.members()) {
+            const auto& current = member->store->in_force();
+            held.push_back(current ? current->version : 0);
+        }
+        std::sort(held.rbegin(), held.rend());
+        const auto now = held[seats / 2];
+        const auto earlier = std::exchange(majority_, now);
+        return std::min(earlier, now);
+    }
+
+    void expect_everywhere()
+    {
+        for (const auto& member : fleet_.members()) {
+            RC_ASSERT(member->store->in_force());
+            RC_ASSERT(member->store->in_force()->version == version_);
+            RC_ASSERT(member->store->settled(fleet_.now()));
+        }
+    }
+
+    config_publisher publisher_;
+    config_fleet fleet_;
+    bundle_version version_ = 3;
+    bundle_version majority_ = 0;
+    bool forked_ = false;
+    std::map<std::string, bundle_version> lives_;
+    std::map<std::string, bool> settled_;
+};
+
+} // namespace
+
+TEST_CASE("config fuzz - versions rise, bundles are whole, the fleet converges")
+{
+    rc::detail::TestParams params;
+    params.seed = GENERATE(1U, 20261203U);
+    params.maxSuccess = 120;
+    params.maxSize = 40;
+    const auto outcome = rc::detail::checkTestable(
+        [] {
+            const auto steps =
+                *rc::gen::container<std::vector<step>>(any_step());
+            config_oracle oracle;
+            for (const auto& next : steps)
+                oracle.take(next);
+            oracle.heal();
+        },
+        rc::detail::TestMetadata{},
+        params);
+    std::ostringstream text;
+    rc::detail::printResultMessage(outcome, text);
+    INFO(text.str());
+    CHECK(outcome.is<rc::detail::SuccessResult>());
+}
--- /dev/null
+++ b/core/tests/config_store_test.cpp
@@ -0,0 +1,196 @@
+#include "config_publisher.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotward;
+using namespace peridotward::testing;
+
+namespace {
+
+constexpr duration spread_limit = seconds{3};
+
+bool all_have(config_fleet& fleet, bundle_version version)
+{
+    const auto& members = fleet.members();
+    return std::all_of(members.begin(), members.end(), [&](const auto& entry) {
+        const auto& current = entry->store->in_force();
+        return current && current->version == version;
+    });
+}
+
+bool all_settled(config_fleet& fleet)
+{
+    const auto& members = fleet.members();
+    return std::all_of(members.begin(), members.end(), [&](const auto& entry) {
+        return entry->store->settled(fleet.now());
+    });
+}
+
+struct running_fleet
+{
+    explicit running_fleet(int size)
+        : publisher{{4, 3, size, 3}}, fleet{size, publisher.policy(), 7}
+    {
+        publisher.publish(fleet, 1);
+        fleet.start_all();
+        fleet.run(seconds{5});
+    }
+
+    config_publisher publisher;
+    config_fleet fleet;
+};
+
+} // namespace
+
+TEST_CASE("config store - a change is in force everywhere within 3 s")
+{
+    const auto size = GENERATE(8, 16, 32, 64);
+    running_fleet test{size};
+    REQUIRE(all_have(test.fleet, 1));
+    REQUIRE(all_settled(test.fleet));
+    const auto watching = std::count_if(
+        test.fleet.members().begin(),
+        test.fleet.members().end(),
+        [](const auto& entry) { return entry->store->watches(); });
+    CHECK(watching == 3);
+    for (bundle_version version = 2; version < 6; ++version) {
+        test.publisher.publish(test.fleet, version);
+        test.fleet.run(spread_limit);
+        CHECK(all_have(test.fleet, version));
+    }
+}
+
+TEST_CASE("config store - an older value and a down service change nothing")
+{
+    running_fleet test{8};
+    test.publisher.publish(test.fleet, 3);
+    test.fleet.run(spread_limit);
+    test.publisher.publish(test.fleet, 2);
+    test.fleet.run(seconds{20});
+    CHECK(all_have(test.fleet, 3));
+    test.fleet.service.down = true;
+    test.fleet.run(seconds{100});
+    CHECK(all_have(test.fleet, 3));
+    CHECK(all_settled(test.fleet));
+}
+
+TEST_CASE("config store - a fork is reported and not taken")
+{
+    running_fleet test{8};
+    test.publisher.publish(test.fleet, 2);
+    test.fleet.run(spread_limit);
+    const auto digest = test.fleet.members()[0]->store->in_force()->digest;
+    test.publisher.publish(test.fleet, 2, 1);
+    test.fleet.run(seconds{10});
+    std::uint64_t forks = 0;
+    for (const auto& entry : test.fleet.members()) {
+        CHECK(entry->store->in_force()->digest == digest);
+        forks += entry->store->counters().forked;
+    }
+    CHECK(forks > 0);
+    test.publisher.publish(test.fleet, 3);
+    test.fleet.run(spread_limit);
+    CHECK(all_have(test.fleet, 3));
+}
+
+TEST_CASE("config store - an unsigned or half published bundle is not taken")
+{
+    running_fleet test{8};
+    config_publisher stranger{{4, 3, 8, 3}};
+    stranger.publish(test.fleet, 2);
+    test.fleet.run(seconds{10});
+    CHECK(all_have(test.fleet, 1));
+    const auto& members = test.fleet.members();
+    const bool told =
+        std::any_of(members.begin(), members.end(), [](const auto& entry) {
+            const auto& refusals = entry->store->refusals();
+            return !refusals.empty() &&
+                   refusals.back().kind == error_kind::signature_invalid;
+        });
+    CHECK(told);
+
+    const auto files = test.publisher.publish(test.fleet, 3);
+    test.fleet.service.lost = {files.root.parts[0].digest};
+    test.fleet.run(seconds{1});
+    // The watchers may have read the part before it was lost; none half.
+    for (const auto& entry : test.fleet.members())
+        CHECK(test.publisher.published(*entry->store->in_force()));
+    test.fleet.service.lost.clear();
+    test.fleet.run(seconds{20});
+    CHECK(all_have(test.fleet, 3));
+}
+
+TEST_CASE("config store - a fresh instance and a stale service")
+{
+    running_fleet test{8};
+    test.publisher.publish(test.fleet, 2);
+    test.fleet.run(spread_limit);
+    test.fleet.service.stale = true;
+    auto& fresh = *test.fleet.members()[3];
+    test.fleet.start(fresh);
+    CHECK_FALSE(fresh.store->settled(test.fleet.now()));
+    CHECK(fresh.store->waiting_for(test.fleet.now()) != "");
+    while (!fresh.store->settled(test.fleet.now()))
+        test.fleet.run(milliseconds{10});
+    CHECK(fresh.store->in_force()->version == 2);
+}
+
+TEST_CASE("config store - a paused instance catches up before it sends")
+{
+    running_fleet test{8};
+    auto& paused = *test.fleet.members()[2];
+    test.fleet.pause(paused);
+    test.fleet.run(seconds{10});
+    test.publisher.publish(test.fleet, 2);
+    test.fleet.run(spread_limit);
+    CHECK_FALSE(paused.store->settled(test.fleet.now()));
+    test.fleet.service.down = true;
+    test.fleet.resume(paused);
+    while (!paused.store->settled(test.fleet.now()))
+        test.fleet.run(milliseconds{1});
+    CHECK(paused.store->in_force()->version == 2);
+    CHECK(paused.store->counters().pauses == 1);
+}
+
+TEST_CASE("config store - a lone instance settles after a bounded wait")
+{
+    running_fleet test{8};
+    test.fleet.service.stale = false;
+    auto& lone = *test.fleet.members()[0];
+    lone.side = 1;
+    test.fleet.start(lone);
+    test.fleet.run(seconds{2});
+    CHECK_FALSE(lone.store->settled(test.fleet.now()));
+    test.fleet.run(seconds{2});
+    CHECK(lone.store->settled(test.fleet.now()));
+}
+
+TEST_CASE("config store - without a link the own reads do")
+{
+    config_publisher publisher;
+    config_store_options options;
+    options.self = "pw-0";
+    const time_point start{std::chrono::hours{1}};
+    config_store store{options, start, 1};
+    config_fleet shelf{1, {}, 1};
+    const auto files = publisher.publish(shelf, 1);
+    auto pending = store.on_tick(start).reads;
+    for (int round = 0; round < 10 && !pending.empty(); ++round) {
+        std::vector<config_read> next;
+        for (const auto& read : pending) {
+            config_read_result ended;
+            ended.whole = true;
+            ended.value_version = 1;
+            ended.bytes = read.kind == config_read_kind::part
+                              ? files.parts.at(read.digest)
+                              : manifest_text(files.root);
+            auto actions = store.on_read(read, ended, start);
+            CHECK(actions.messages.empty());
+            next.insert(next.end(), actions.reads.begin(), actions.reads.end());
+        }
+        pending = next;
+    }
+    REQUIRE(store.in_force());
+    CHECK(store.settled(start));
+    CHECK(store.watches());
+}
