--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -65,8 +65,7 @@
 int before_request(void* user, char*, char*, int, int)
 {
     const auto& self = *static_cast<exchange*>(user);
-    return self.request.may_send() ? CURL_PREREQFUNC_OK
-                                   : CURL_PREREQFUNC_ABORT;
+    return self.request.may_send() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 transport_outcome outcome_of(const exchange& ended, CURLcode code)
--- a/instance/src/fleet_runner.cpp
+++ b/instance/src/fleet_runner.cpp
@@ -1,5 +1,4 @@
 #include "fleet_runner.hpp"
-
 #include "log.hpp"
 
 namespace peridotward {
--- a/instance/src/operator_api.cpp
+++ b/instance/src/operator_api.cpp
@@ -81,7 +81,8 @@
     const auto body = parse_json(request.body);
     if (!body)
         return refuse(error_kind::bad_request, body.error().message);
-    const auto wanted = body->is_object() ? body->value("refuse", json{}) : json{};
+    const auto wanted =
+        body->is_object() ? body->value("refuse", json{}) : json{};
     std::set<std::string> seats;
     for (const auto& seat : wanted) {
         if (!seat.is_string())
--- a/instance/src/owner_desk.cpp
+++ b/instance/src/owner_desk.cpp
@@ -1,5 +1,4 @@
 #include "owner_desk.hpp"
-
 #include "owner_port.hpp"
 
 #include <algorithm>
@@ -45,8 +44,7 @@
         });
 }
 
-void owner_desk::on_request(
-    const peer_source& from, const sub_request& request)
+void owner_desk::on_request(const peer_source& from, const sub_request& request)
 {
     const auto deadline = loop_->now() + microseconds{request.budget_us};
     for (const auto& wanted : request.attempts)
@@ -113,15 +111,14 @@
 {
     owned_request owned;
     const bool is_fetch = request.action == record_action::fetch;
-    owned.what = is_fetch ? owned_request::action::fetch
-                          : owned_request::action::append;
+    owned.what =
+        is_fetch ? owned_request::action::fetch : owned_request::action::append;
     owned.name = std::move(request.request_id);
     owned.upstream = request.upstream;
     owned.deadline = loop_->now() + microseconds{request.budget_us};
     owned.text = std::move(request.text);
     executor_->start(
-        std::move(owned),
-        [this, from, id = request.id](owned_result result) {
+        std::move(owned), [this, from, id = request.id](owned_result result) {
             fleet_->send(
                 from.seat,
                 reply_of(id, std::move(result)),
--- a/instance/src/owner_desk.hpp
+++ b/instance/src/owner_desk.hpp
@@ -23,14 +23,13 @@
     };
 
     void on_request(const peer_source& from, const sub_request& request);
-    void run(
-        const peer_source& from,
+    void
+    run(const peer_source& from,
         const sub_request& request,
         const sub_attempt& wanted,
         time_point deadline);
     void on_cancel(const peer_source& from, const sub_cancel& message);
-    void
-    on_end(const peer_source& from, attempt_id id, owned_result&& result);
+    void on_end(const peer_source& from, attempt_id id, owned_result&& result);
     void on_record(const peer_source& from, record_request request);
 
     fleet_runner* fleet_;
--- a/instance/src/owner_port.cpp
+++ b/instance/src/owner_port.cpp
@@ -24,6 +24,8 @@
     response.status = reply.status;
     response.report = reply.report;
     response.elapsed = microseconds{reply.elapsed_us};
+    if (!reply.not_owner)
+        response.free_slots = reply.free_slots;
     response.body = std::move(reply.body);
     return response;
 }
@@ -85,9 +87,8 @@
 {
     const auto& leases = fleet_->leases();
     const auto index = leases.voters().find(each.upstream);
-    const auto owner = index.valid()
-                           ? leases.likely_owner(index, loop_->now())
-                           : std::string_view{};
+    const auto owner = index.valid() ? leases.likely_owner(index, loop_->now())
+                                     : std::string_view{};
     each.owner = owner;
     if (owner.empty())
         end_later(each.wanted.id, attempt_outcome::not_sent, false);
@@ -113,6 +114,8 @@
         std::move(request), [this, id = wanted.id](owned_result result) {
             // Later, since the start may end at once.
             loop_->post([this, id, result = std::move(result)]() mutable {
+                if (!result.not_owner)
+                    result.response.free_slots = result.free_slots;
                 end_now(id, std::move(result.response));
             });
         });
@@ -188,9 +191,8 @@
         return false;
     leases.on_not_owner(index, from, now);
     const auto next = leases.likely_owner(index, now);
-    const bool useful = !each.rerouted && !each.wanted.hedge &&
-                        !next.empty() && next != from &&
-                        now < each.wanted.deadline;
+    const bool useful = !each.rerouted && !each.wanted.hedge && !next.empty() &&
+                        next != from && now < each.wanted.deadline;
     if (!useful)
         return false;
     each.rerouted = true;
--- a/instance/src/owner_port.hpp
+++ b/instance/src/owner_port.hpp
@@ -64,7 +64,6 @@
 };
 
 /// \returns The name under which upstreams know an attempt of `entry`.
-[[nodiscard]] std::string
-attempt_name(const peer_source& entry, attempt_id id);
+[[nodiscard]] std::string attempt_name(const peer_source& entry, attempt_id id);
 
 } // namespace peridotward
--- a/instance/src/record_port.cpp
+++ b/instance/src/record_port.cpp
@@ -16,10 +16,9 @@
 record_port::record_port(fleet_runner& fleet, upstream_executor& executor)
     : fleet_{&fleet}, executor_{&executor}, loop_{&fleet.state().loop}
 {
-    fleet.on<record_reply>(
-        [this](const peer_source& from, record_reply reply) {
-            on_reply(from, std::move(reply));
-        });
+    fleet.on<record_reply>([this](const peer_source& from, record_reply reply) {
+        on_reply(from, std::move(reply));
+    });
     fleet.on_unsent([this](const std::string&, delivery_ticket ticket) {
         on_unsent(ticket);
     });
@@ -32,16 +31,14 @@
     const auto upstream = resource_of(job.in_force->at(job.upstream));
     const auto& leases = fleet_->leases();
     const auto index = leases.voters().find(upstream);
-    const auto owner = index.valid()
-                           ? leases.likely_owner(index, loop_->now())
-                           : std::string_view{};
+    const auto owner = index.valid() ? leases.likely_owner(index, loop_->now())
+                                     : std::string_view{};
     if (owner.empty())
         done(owned_result{});
     else if (owner == fleet_->state().configured.instance.id)
         run_here(std::move(job), upstream, std::move(done));
     else
-        send_to(
-            std::string{owner}, std::move(job), upstream, std::move(done));
+        send_to(std::string{owner}, std::move(job), upstream, std::move(done));
 }
 
 void record_port::run_here(
@@ -49,8 +46,8 @@
 {
     const bool is_fetch = job.action == record_action::fetch;
     owned_request request;
-    request.what = is_fetch ? owned_request::action::fetch
-                            : owned_request::action::append;
+    request.what =
+        is_fetch ? owned_request::action::fetch : owned_request::action::append;
     request.name = std::move(job.request_id);
     request.upstream = upstream;
     request.priority = job.priority;
--- a/instance/src/record_runner.cpp
+++ b/instance/src/record_runner.cpp
@@ -41,8 +41,7 @@
         return tl::unexpected{chosen.error()};
     state_->counted.count("fetches");
     auto job = job_for(context, *chosen, record_action::fetch);
-    job.request_id =
-        state_->process + ".r" + std::to_string(++last_request_);
+    job.request_id = state_->process + ".r" + std::to_string(++last_request_);
     job.text = key;
     port_->submit(std::move(job), [this, context](owned_result result) {
         on_fetched(context, std::move(result));
--- a/instance/src/record_runner.hpp
+++ b/instance/src/record_runner.hpp
@@ -13,8 +13,7 @@
 public:
     using answer_handler = std::function<void(exchange_id, http_response)>;
 
-    record_runner(
-        node_state& state, record_port& port, answer_handler answer)
+    record_runner(node_state& state, record_port& port, answer_handler answer)
         : state_{&state}, port_{&port}, answer_{std::move(answer)}
     {}
 
--- a/instance/src/upstream_executor.cpp
+++ b/instance/src/upstream_executor.cpp
@@ -71,8 +71,7 @@
         finish(id, not_run(true));
         return;
     }
-    const bool is_entry =
-        started.request.what == owned_request::action::append;
+    const bool is_entry = started.request.what == owned_request::action::append;
     if (is_entry && gate_ != nullptr && !pass_gate(id))
         return;
     started.sent = true;
@@ -175,9 +174,7 @@
 
 /// Frees the slot once the upstream surely works no more on the request.
 void upstream_executor::release(
-    const budget_grant& granted,
-    const shard_response& response,
-    time_point end)
+    const budget_grant& granted, const shard_response& response, time_point end)
 {
     const bool may_run_on = response.sent && response.status == 0;
     if (!may_run_on) {
@@ -189,9 +186,8 @@
     seen.sent = response.sent;
     seen.report = response.report;
     seen.elapsed = response.elapsed;
-    loop_->at(end + settle_time, [this, granted, seen] {
-        end_grant(granted, seen);
-    });
+    loop_->at(
+        end + settle_time, [this, granted, seen] { end_grant(granted, seen); });
 }
 
 void upstream_executor::end_grant(
@@ -225,8 +221,7 @@
         return;
     }
     const auto& started = found->second;
-    const bool is_entry =
-        started.request.what == owned_request::action::append;
+    const bool is_entry = started.request.what == owned_request::action::append;
     if (started.sent && !is_entry)
         gateway_->cancel(started.address, started.request.name);
 }
--- a/instance/src/upstream_executor.hpp
+++ b/instance/src/upstream_executor.hpp
@@ -87,8 +87,7 @@
         const budget_grant& granted,
         const shard_response& response,
         time_point end);
-    void
-    end_grant(const budget_grant& granted, const shard_response& response);
+    void end_grant(const budget_grant& granted, const shard_response& response);
     void finish(work_id id, owned_result result);
 
     fleet_runner* fleet_;
--- a/instance/src/upstream_watch.cpp
+++ b/instance/src/upstream_watch.cpp
@@ -58,20 +58,13 @@
     update_readiness(now);
 }
 
-/// The tracker of snapshots starts empty with each bundle.
+/// Forgets upstreams that are not in the bundle any more.
 void upstream_watch::on_bundle(time_point)
 {
     const auto& names = fleet_->leases().voters();
-    for (auto entry = seen_.begin(); entry != seen_.end();) {
-        const resource_id id{entry->first};
-        if (names.find(id).valid()) {
-            observe(id, entry->second.report);
-            ++entry;
-        }
-        else {
-            entry = seen_.erase(entry);
-        }
-    }
+    std::erase_if(seen_, [&](const auto& entry) {
+        return !names.find(resource_id{entry.first}).valid();
+    });
 }
 
 void upstream_watch::on_news(const upstream_news& news)
@@ -124,7 +117,9 @@
 void upstream_watch::observe(resource_id id, const upstream_report& report)
 {
     const auto index = fleet_->leases().voters().find(id);
-    state_->snapshots.observe(index, report.snapshots, state_->loop.now());
+    const auto now = state_->loop.now();
+    state_->snapshots.observe(index, report.snapshots, now);
+    state_->replicas.on_report(index, report, now);
 }
 
 upstream_news upstream_watch::own_news(bool changes_only) const
@@ -197,10 +192,10 @@
         return;
     const auto all = fleet_->leases().in_force()->upstreams.size();
     complete_ = seen_.size() >= all || now - started_ > longest_start;
-    state_->waiting_for =
-        complete_ ? std::string{}
-                  : std::to_string(seen_.size()) + " of " +
-                        std::to_string(all) + " upstreams have reported";
+    state_->waiting_for = complete_ ? std::string{}
+                                    : std::to_string(seen_.size()) + " of " +
+                                          std::to_string(all) +
+                                          " upstreams have reported";
 }
 
 } // namespace peridotward
