--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,6 +1,7 @@
 # Starts and stops stand-ins and instances on loopback; to be sourced.
 #
-# Sets: bin (build folder), work (scratch folder), deployment, prefix, net,
+# Sets: bin (build folder), work (scratch folder), files (settings and bundle),
+# deployment, prefix, net,
 # platform and control (addresses of the stand-ins), caller_delay (ms).
 
 fleet_use() { # DEPLOYMENT
@@ -14,7 +15,8 @@
         ;;
     esac
     bin=build/release
-    bundle=examples/$deployment/bundle.jsonc
+    files=examples/$deployment
+    bundle=$files/bundle.jsonc
     platform=$net.0.100:7000
     control=$net.0.101:7001
     work=$(mktemp -d)
@@ -56,7 +58,7 @@
 
 fleet_start_instance() { # NUMBER
     "$bin/instance/peridotward" \
-        --settings "examples/$deployment/$prefix-$1.jsonc" \
+        --settings "$files/$prefix-$1.jsonc" \
         2>>"$work/$prefix-$1.log" &
     fleet_pids+=($!)
     instance_pid[$1]=$!
@@ -83,7 +85,7 @@
     fleet_wait "http://$control/ledger"
     fleet_delays
     fleet_publish /v1/values/bundle "$bundle"
-    fleet_publish /v1/instances "examples/$deployment/instances.json"
+    fleet_publish /v1/instances "$files/instances.json"
     for i in "${instance_numbers[@]}"; do fleet_start_instance "$i"; done
     for i in "${instance_numbers[@]}"; do fleet_wait_instance "$i"; done
 }
