--- a/instance/src/fleet_runner.cpp
+++ b/instance/src/fleet_runner.cpp
@@ -196,6 +196,10 @@
 
 void fleet_runner::follow_leaving(time_point now)
 {
+    if (members_.superseded() && !state_->superseded) {
+        state_->superseded = true;
+        log_event(log_level::error, "superseded");
+    }
     if (!state_->leaving || told_leaving_)
         return;
     told_leaving_ = true;
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -42,6 +42,7 @@
     recent_queries recent;
     std::string waiting_for; ///< What the fleet owes before serving.
     bool leaving = false;
+    bool superseded = false; ///< A later start fills the same seat.
 
     /// Puts `next` in force; what is known of upstreams is kept.
     void put_in_force(bundle_ptr next)
@@ -56,6 +57,8 @@
     {
         if (leaving)
             return "the instance is leaving";
+        if (superseded)
+            return "a later start fills this seat";
         if (!in_force)
             return "no bundle is in force";
         return waiting_for;
