--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -17,4 +17,5 @@
 #include <peridotward/core/random_replica.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 #include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/usual_time.hpp>
 #include <peridotward/core/warmth.hpp>
--- a/core/include/peridotward/core/upstream_budgets.hpp
+++ b/core/include/peridotward/core/upstream_budgets.hpp
@@ -7,6 +7,7 @@
 #include <peridotward/core/domain_shares.hpp>
 #include <peridotward/core/fleet_timing.hpp>
 #include <peridotward/core/lease_controller.hpp>
+#include <peridotward/core/usual_time.hpp>
 #include <peridotward/core/warmth.hpp>
 
 #include <tl/expected.hpp>
@@ -172,7 +173,7 @@
     bundle_ptr in_force_;
     std::vector<state> states_; ///< By upstream.
     std::vector<std::uint32_t> busy_;
-    std::vector<duration> usual_;      ///< Time of an answer, by service.
+    std::vector<usual_time> usual_;    ///< By service.
     std::vector<std::string> leaving_; ///< By the list, sorted.
     domain_shares shares_;
 };
--- a/core/include/peridotward/core/warmth.hpp
+++ b/core/include/peridotward/core/warmth.hpp
@@ -33,7 +33,7 @@
 /// \brief Finds from answers how much one upstream bears.
 ///
 /// \remarks Cuts to the cold slots at once on the upstream's own mark, on a
-/// shed request, on two timeouts or on three slow answers in a row. Grows by
+/// shed request, on three timeouts or three slow answers in a row. Grows by
 /// what was borne at the present limit, over the service's ramp at least. An
 /// upstream that keeps its cold mark but answers fast for two ramps is taken
 /// as warm.
--- a/core/src/upstream_budgets.cpp
+++ b/core/src/upstream_budgets.cpp
@@ -11,8 +11,6 @@
 
 /// From this many slots on, one is kept for normal and urgent requests.
 constexpr std::uint32_t slots_with_reserve = 3;
-/// Weight of a new answer in the usual time is one in this many.
-constexpr int usual_weight = 8;
 
 } // namespace
 
@@ -51,7 +49,7 @@
         if (found != known.end())
             states[i] = states_[found->second];
     }
-    std::vector<duration> usual(newer.services.size());
+    std::vector<usual_time> usual(newer.services.size());
     for (std::size_t i = 0; i < usual.size(); ++i) {
         const auto found = older.find_service(newer.services[i].id);
         if (found.valid())
@@ -203,7 +201,7 @@
     else
         note_phase(upstream, report.phase, now);
     const auto service = in_force_->at(upstream).service;
-    const auto usual = usual_[service.position()];
+    const auto usual = usual_[service.position()].value();
     const auto& limits = in_force_->at(service);
     used.bears.on_answer(limits, outcome, report.phase, elapsed, usual, now);
     if (outcome == attempt_outcome::answered)
@@ -215,12 +213,7 @@
 {
     const bool typical = bears.phase() == warmth_phase::warm ||
                          bears.phase() == warmth_phase::unproven;
-    if (!typical)
-        return;
-    auto& usual = usual_[index.position()];
-    if (usual == duration{})
-        usual = elapsed;
-    usual += (elapsed - usual) / usual_weight;
+    usual_[index.position()].add(elapsed, typical);
 }
 
 void upstream_budgets::on_report(
--- a/core/src/warmth.cpp
+++ b/core/src/warmth.cpp
@@ -11,7 +11,7 @@
 /// Answers below this time are never slow.
 constexpr duration always_fast = milliseconds{5};
 constexpr std::uint8_t slow_before_cut = 3;
-constexpr std::uint8_t timeouts_before_cut = 2;
+constexpr std::uint8_t timeouts_before_cut = 3;
 /// A cold mark is doubted after this many ramps of fast answers.
 constexpr int doubted_after_ramps = 2;
 
--- a/core/tests/fleet_fuzz_test.cpp
+++ b/core/tests/fleet_fuzz_test.cpp
@@ -143,6 +143,7 @@
 void end_faults(fleet_world& world)
 {
     world.links = {};
+    world.stuck = 0;
     world.heal();
     bring_all_in(world);
     for (const auto& seat : world.seats()) {
