--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -33,4 +33,5 @@
 #include <peridotward/core/snapshot_tracker.hpp>
 #include <peridotward/core/upstream_budgets.hpp>
 #include <peridotward/core/wakeup_queue.hpp>
+#include <peridotward/core/usual_time.hpp>
 #include <peridotward/core/warmth.hpp>
