--- /dev/null
+++ b/core/tests/search_bundles.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <peridotward/config/bundle.hpp>
+
+#include <memory>
+#include <string>
+
+namespace peridotward::query_test {
+
+/// Sizes of a bundle with one search over equal shards.
+struct search_shape
+{
+    std::uint32_t shards = 25;
+    std::uint32_t replicas = 3;
+    std::uint32_t slots = 4;
+    std::uint64_t keys_per_shard = 100;
+};
+
+/// \returns A bundle with one search; replica `r` of each shard is in domain
+/// `r`, and upstreams of one shard are neighbours.
+inline std::shared_ptr<bundle> make_search_bundle(const search_shape& shape)
+{
+    auto made = std::make_shared<bundle>();
+    made->version = 1;
+    for (std::uint32_t r = 0; r < shape.replicas; ++r)
+        made->domains.push_back({"domain-" + std::to_string(r), "region"});
+    shard_map map;
+    map.id = "map";
+    map.from_snapshot = 1;
+    map.key_space = shape.shards * shape.keys_per_shard;
+    for (std::uint32_t s = 0; s < shape.shards; ++s) {
+        service shard_service;
+        shard_service.id = "shard-" + std::to_string(s);
+        shard_service.slots = shape.slots;
+        for (std::uint32_t r = 0; r < shape.replicas; ++r) {
+            const auto position =
+                static_cast<std::uint32_t>(made->upstreams.size());
+            shard_service.upstreams.push_back(upstream_index{position});
+            upstream replica;
+            replica.id = shard_service.id + "-" + std::to_string(r);
+            replica.service = service_index{s};
+            replica.domain = domain_index{r};
+            made->upstreams.push_back(replica);
+        }
+        made->services.push_back(std::move(shard_service));
+        map.shards.push_back(
+            {service_index{s},
+             {s * shape.keys_per_shard, (s + 1) * shape.keys_per_shard}});
+    }
+    search whole;
+    whole.id = "search";
+    whole.map = map.id;
+    whole.range = {0, map.key_space};
+    made->maps.push_back(std::move(map));
+    made->searches.push_back(std::move(whole));
+    return made;
+}
+
+} // namespace peridotward::query_test
