Wire the configuration store into instances; demo publishes signed parts

Cause: instances polled one value and took any of it. Change: config_keeper carries out the store's decisions (reads, watch, parts); readiness waits for it; the dump has a section of it; fleet.sh builds, signs and publishes parts and the manifest last, with a key pair made at the start.

--- a/config/include/peridotward/config/settings.hpp
+++ b/config/include/peridotward/config/settings.hpp
@@ -46,6 +46,7 @@
     endpoint instance_list;
     std::string bundle_name = "bundle"; ///< Name of the published value.
     milliseconds poll_interval{1000};
+    milliseconds join_wait{3000}; ///< Longest wait for peers at a start.
 };
 
 /// \brief Who must have signed a bundle.
--- a/config/src/settings.cpp
+++ b/config/src/settings.cpp
@@ -77,6 +77,7 @@
     platform.bundle_name = reader.text_or("bundle_name", platform.bundle_name);
     platform.poll_interval =
         read_ms(reader, "poll_interval_ms", platform.poll_interval);
+    platform.join_wait = read_ms(reader, "join_wait_ms", platform.join_wait);
     reader.finish();
     return platform;
 }
--- /dev/null
+++ b/instance/src/config_dump.cpp
@@ -0,0 +1,58 @@
+#include "config_dump.hpp"
+
+namespace peridotward {
+
+namespace {
+
+json refusal_json(const config_refusal& refusal)
+{
+    return {
+        {"kind", name_of(refusal.kind)},
+        {"version", refusal.version},
+        {"source", refusal.source},
+        {"reason", refusal.message}};
+}
+
+json counters_json(const config_counters& counted)
+{
+    return {
+        {"service_calls", counted.service_calls},
+        {"service_failures", counted.service_failures},
+        {"service_bytes", counted.service_bytes},
+        {"peer_messages", counted.peer_messages},
+        {"peer_bytes_sent", counted.peer_bytes_sent},
+        {"accepted", counted.accepted},
+        {"refused", counted.refused},
+        {"older", counted.older},
+        {"forked", counted.forked},
+        {"pauses", counted.pauses}};
+}
+
+} // namespace
+
+json config_dump(const node_state& state)
+{
+    if (state.configuration == nullptr)
+        return json::object();
+    const auto& store = *state.configuration;
+    const auto now = state.loop.now();
+    json refusals = json::array();
+    for (const auto& refusal : store.refusals())
+        refusals.push_back(refusal_json(refusal));
+    json section{
+        {"settled", store.settled(now)},
+        {"waiting_for", store.waiting_for(now)},
+        {"watches", store.watches()},
+        {"signatures_required", state.configured.sign_off.required},
+        {"counters", counters_json(store.counters())},
+        {"refusals", std::move(refusals)}};
+    if (const auto& current = store.in_force()) {
+        section["version"] = current->version;
+        section["digest"] = current->digest;
+        section["accepted_at_ms"] =
+            state.accepted_at.time_since_epoch().count();
+    }
+    return section;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/instance/src/config_keeper.cpp
@@ -0,0 +1,159 @@
+#include "config_keeper.hpp"
+#include "log.hpp"
+
+#include <charconv>
+
+namespace peridotward {
+
+namespace {
+
+constexpr milliseconds tick_interval{100};
+constexpr seconds read_timeout{2};
+constexpr seconds watch_timeout{45};
+constexpr std::uint16_t http_ok = 200;
+constexpr std::string_view value_path = "/v1/values/";
+constexpr std::string_view version_header = "value-version";
+constexpr std::string_view reader_header = "instance-id";
+
+std::uint64_t value_version_of(const http_headers& headers)
+{
+    const auto text = find_header(headers, version_header);
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+std::string path_of(const config_read& read, const std::string& bundle_name)
+{
+    const std::string prefix{value_path};
+    if (read.kind == config_read_kind::part)
+        return prefix + part_value_name(bundle_name, read.digest);
+    if (read.kind == config_read_kind::watch)
+        return prefix + bundle_name + "?after=" + std::to_string(read.after);
+    return prefix + bundle_name;
+}
+
+} // namespace
+
+result<void> config_keeper::prepare()
+{
+    const auto& configured = state_->configured;
+    auto policy = load_sign_off(configured.sign_off);
+    if (!policy)
+        return tl::unexpected{policy.error()};
+    config_store_options options;
+    options.self = configured.instance.id;
+    options.retry = configured.platform.poll_interval;
+    options.join_wait = configured.platform.join_wait;
+    options.sign_off = std::move(*policy);
+    store_.emplace(
+        std::move(options), state_->loop.now(), state_->random.next());
+    state_->configuration = &*store_;
+    return {};
+}
+
+void config_keeper::start()
+{
+    if (state_->configured.sign_off.required == 0)
+        log_event(
+            log_level::warn,
+            "sign_off_absent",
+            {{"reason", "bundles are accepted without signatures"}});
+    tick();
+}
+
+void config_keeper::tick()
+{
+    carry_out(store_->on_tick(state_->loop.now()));
+    state_->loop.after(tick_interval, [this] { tick(); });
+}
+
+void config_keeper::set_live(std::vector<std::string> seats)
+{
+    store_->set_live(std::move(seats));
+}
+
+void config_keeper::on_summary(
+    const std::string& from, const config_summary& theirs)
+{
+    carry_out(store_->on_summary(from, theirs, state_->loop.now()));
+}
+
+void config_keeper::on_fetch(
+    const std::string& from, const config_fetch& wanted)
+{
+    carry_out(store_->on_fetch(from, wanted, state_->loop.now()));
+}
+
+void config_keeper::on_part(const std::string& from, config_part part)
+{
+    carry_out(store_->on_part(from, std::move(part), state_->loop.now()));
+}
+
+config_summary config_keeper::summary() const
+{
+    auto ours = store_->summary();
+    ours.list_version = state_->listed.version;
+    return ours;
+}
+
+void config_keeper::carry_out(config_actions actions)
+{
+    if (actions.accepted)
+        accept(actions.accepted);
+    for (const auto& refusal : actions.refusals)
+        log_event(
+            log_level::error,
+            "bundle_refused",
+            {{"kind", name_of(refusal.kind)},
+             {"version", refusal.version},
+             {"source", refusal.source},
+             {"reason", refusal.message}});
+    for (const auto& message : actions.messages) {
+        if (send_)
+            send_(message);
+    }
+    for (auto& read : actions.reads)
+        make_read(std::move(read));
+}
+
+void config_keeper::make_read(config_read read)
+{
+    const auto& platform = state_->configured.platform;
+    const bool watch = read.kind == config_read_kind::watch;
+    client_request request;
+    request.to = platform.configuration;
+    request.path = path_of(read, platform.bundle_name);
+    request.timeout = watch ? watch_timeout : read_timeout;
+    request.headers = {
+        {std::string{reader_header}, state_->configured.instance.id}};
+    state_->counted.count("configuration_calls");
+    state_->loop.client().submit(
+        std::move(request), [this, read](client_response response) {
+            config_read_result ended;
+            ended.whole = response.outcome == transport_outcome::answered &&
+                          response.status == http_ok;
+            if (ended.whole) {
+                ended.value_version = value_version_of(response.headers);
+                ended.bytes = std::move(response.body);
+            }
+            else {
+                state_->counted.count("configuration_call_failures");
+            }
+            carry_out(
+                store_->on_read(read, std::move(ended), state_->loop.now()));
+        });
+}
+
+void config_keeper::accept(const bundle_ptr& accepted)
+{
+    state_->put_in_force(accepted);
+    state_->counted.count("bundles_accepted");
+    state_->accepted_at = state_->loop.wall();
+    log_event(
+        log_level::info,
+        "bundle_in_force",
+        {{"version", accepted->version}, {"digest", accepted->digest}});
+}
+
+} // namespace peridotward
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -102,8 +102,9 @@
 
 result<void> node::start()
 {
-    return impl_->caller_server.start().and_then(
-        [&] { return impl_->operator_server.start(); });
+    return impl_->platform.prepare()
+        .and_then([&] { return impl_->caller_server.start(); })
+        .and_then([&] { return impl_->operator_server.start(); });
 }
 
 void node::run()
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -8,6 +8,7 @@
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
 #include <peridotward/config/settings.hpp>
+#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 
 #include <string>
@@ -31,7 +32,9 @@
     metrics counted;
     random_source random;
     std::string process; ///< Instance and start; unique over restarts.
-    bundle_ptr in_force; ///< Null until a bundle is accepted.
+    const config_store* configuration = nullptr; ///< Null in tests of parts.
+    bundle_ptr in_force;   ///< Null until a bundle is accepted.
+    wall_time accepted_at; ///< When it came into force.
     instance_list listed;
     snapshot_tracker snapshots;
     std::unordered_set<std::string> running_ids; ///< Callers' request ids.
@@ -45,7 +48,9 @@
             return "the instance is leaving";
         if (!in_force)
             return "no bundle is in force";
-        return {};
+        return configuration == nullptr
+                   ? std::string{}
+                   : configuration->waiting_for(loop.now());
     }
 };
 
--- a/instance/src/operator_api.cpp
+++ b/instance/src/operator_api.cpp
@@ -1,3 +1,4 @@
+#include "config_dump.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
 
@@ -117,6 +118,7 @@
         document["bundle"] = {
             {"version", state_->in_force->version},
             {"digest", state_->in_force->digest}};
+    document["configuration"] = config_dump(*state_);
     document["counters"] = state_->counted.counters();
     return document;
 }
--- a/instance/src/platform_reader.cpp
+++ b/instance/src/platform_reader.cpp
@@ -18,30 +18,10 @@
 
 void platform_reader::start()
 {
-    read_bundle();
+    config_.start();
     read_list();
 }
 
-void platform_reader::read_bundle()
-{
-    const auto& platform = state_->configured.platform;
-    client_request request;
-    request.to = platform.configuration;
-    request.path = "/v1/values/" + platform.bundle_name;
-    request.timeout = read_timeout;
-    state_->counted.count("configuration_calls");
-    state_->loop.client().submit(
-        request, [this](const client_response& response) {
-            if (whole(response))
-                accept_bundle(response.body);
-            else
-                state_->counted.count("configuration_call_failures");
-            state_->loop.after(
-                state_->configured.platform.poll_interval,
-                [this] { read_bundle(); });
-        });
-}
-
 void platform_reader::read_list()
 {
     client_request request;
@@ -60,30 +40,6 @@
         });
 }
 
-void platform_reader::accept_bundle(const std::string& text)
-{
-    auto parsed = parse_bundle(text);
-    if (!parsed) {
-        state_->counted.count("bundles_refused");
-        log_event(
-            log_level::error,
-            "bundle_refused",
-            {{"reason", parsed.error().message}});
-        return;
-    }
-    const auto& current = state_->in_force;
-    if (current && (*parsed)->version <= current->version)
-        return;
-    state_->in_force = *parsed;
-    state_->snapshots.clear();
-    state_->counted.count("bundles_accepted");
-    log_event(
-        log_level::info,
-        "bundle_in_force",
-        {{"version", state_->in_force->version},
-         {"digest", state_->in_force->digest}});
-}
-
 void platform_reader::accept_list(const std::string& text)
 {
     auto parsed = parse_instance_list(text);
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -28,6 +28,27 @@
     curl -fsS -X PUT --data-binary @"$2" "http://$platform$1" >/dev/null
 }
 
+fleet_publish_bundle() { # FILE: builds, signs and publishes, manifest last
+    local folder=$work/published part
+    mkdir -p "$folder/sent"
+    "$bin/ctl/peridotctl" bundle build "$1" bundle "$folder" >/dev/null
+    "$bin/ctl/peridotctl" bundle sign "$folder/bundle" "$work/approver.key" \
+        >/dev/null
+    for part in "$folder"/bundle.*; do
+        [ -e "$folder/sent/${part##*/}" ] && continue
+        fleet_publish "/v1/values/${part##*/}" "$part"
+        touch "$folder/sent/${part##*/}"
+    done
+    fleet_publish /v1/values/bundle "$folder/bundle"
+}
+
+fleet_settings() { # NUMBER: prints a copy that requires the demo's approver
+    local copy=$work/$prefix-$1.jsonc
+    sed -e "s|^  \"log\":|  \"sign_off\": {\"key_files\": [\"$work/approver.pub\"], \"required\": 1},\n&|" \
+        "examples/$deployment/$prefix-$1.jsonc" >"$copy"
+    echo "$copy"
+}
+
 fleet_set() { # MATCH JSON [STAGGER_MS]: changes matching upstreams
     curl -fsS -X POST "http://$control/control" \
         -d "{\"match\":\"$1\",\"set\":$2,\"stagger_ms\":${3:-0}}" >/dev/null
@@ -42,7 +63,7 @@
     sed -e "s/\"version\": 1,/\"version\": $3,/" \
         -e "s/\(\"id\": \"$1\".*\"state\": \)\"in\"/\1\"$2\"/" \
         "$bundle" >"$work/bundle-$3.jsonc"
-    fleet_publish /v1/values/bundle "$work/bundle-$3.jsonc"
+    fleet_publish_bundle "$work/bundle-$3.jsonc"
 }
 
 fleet_wait() { # URL: waits until it answers with success
@@ -56,7 +77,7 @@
 
 fleet_start_instance() { # NUMBER
     "$bin/instance/peridotward" \
-        --settings "examples/$deployment/$prefix-$1.jsonc" \
+        --settings "$(fleet_settings "$1")" \
         2>>"$work/$prefix-$1.log" &
     fleet_pids+=($!)
     instance_pid[$1]=$!
@@ -82,7 +103,9 @@
     fleet_wait "http://$platform/ledger"
     fleet_wait "http://$control/ledger"
     fleet_delays
-    fleet_publish /v1/values/bundle "$bundle"
+    "$bin/ctl/peridotctl" bundle keygen "$work/approver.key" \
+        "$work/approver.pub" >/dev/null
+    fleet_publish_bundle "$bundle"
     fleet_publish /v1/instances "examples/$deployment/instances.json"
     for i in "${instance_numbers[@]}"; do fleet_start_instance "$i"; done
     for i in "${instance_numbers[@]}"; do fleet_wait_instance "$i"; done
