--- a/ctl/src/scatter_run.cpp
+++ b/ctl/src/scatter_run.cpp
@@ -125,14 +125,14 @@
     request.path = "/v1/search";
     request.headers = {{"Content-Type", "application/json"}};
     request.timeout = plan_.deadline;
-    request.body =
-        "{\"request\":\"scatter." + std::to_string(++report_.requests) +
-        "\",\"service\":\"" + defined_->at(part.service).id +
-        "\",\"snapshot\":" + std::to_string(snapshot) + ",\"range\":[" +
-        std::to_string(part.range.first) + "," +
-        std::to_string(part.range.last) +
-        "],\"deadline_ms\":" + std::to_string(plan_.deadline.count()) +
-        ",\"criteria\":" + criteria + "}";
+    request.body = "{\"request\":\"scatter." + std::to_string(plan_.seed) +
+                   "." + std::to_string(++report_.requests) +
+                   "\",\"service\":\"" + defined_->at(part.service).id +
+                   "\",\"snapshot\":" + std::to_string(snapshot) +
+                   ",\"range\":[" + std::to_string(part.range.first) + "," +
+                   std::to_string(part.range.last) + "],\"deadline_ms\":" +
+                   std::to_string(plan_.deadline.count()) +
+                   ",\"criteria\":" + criteria + "}";
     ++query->open;
     ++in_flight_[chosen->position()];
     client_.submit(
--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -1,9 +1,12 @@
+#include "curl_poller.hpp"
+
 #include <peridotward/http/http_client.hpp>
 
 #include <curl/curl.h>
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -80,6 +83,7 @@
 struct http_client::impl
 {
     CURLM* multi = nullptr;
+    std::optional<curl_poller> poller;
     std::size_t max_body_bytes = 0;
     std::uint64_t last_call = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> running;
@@ -186,6 +190,7 @@
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     impl_->multi = curl_multi_init();
+    impl_->poller.emplace(impl_->multi);
     impl_->max_body_bytes = max_body_bytes;
     curl_multi_setopt(
         impl_->multi, CURLMOPT_MAXCONNECTS, max_cached_connections);
@@ -224,24 +229,13 @@
 
 void http_client::poll(duration max_wait)
 {
-    int active = 0;
-    curl_multi_perform(impl_->multi, &active);
-    impl_->collect();
-    const auto wait_ms =
-        std::chrono::duration_cast<milliseconds>(max_wait).count();
-    curl_multi_poll(
-        impl_->multi,
-        nullptr,
-        0,
-        static_cast<int>(std::max<std::int64_t>(0, wait_ms)),
-        nullptr);
-    curl_multi_perform(impl_->multi, &active);
+    impl_->poller->run(max_wait);
     impl_->collect();
 }
 
 void http_client::wake() noexcept
 {
-    curl_multi_wakeup(impl_->multi);
+    impl_->poller->wake();
 }
 
 std::size_t http_client::running() const noexcept
--- a/tests/standins/upstream_standin.cpp
+++ b/tests/standins/upstream_standin.cpp
@@ -246,21 +246,30 @@
     const auto needed = service_time_ms();
     const bool late = needed > deadline_ms;
     job->timer.expires_after(as_nanoseconds(std::min(needed, deadline_ms)));
-    job->timer.async_wait([this, request, late, produce = std::move(produce)](
-                              boost::system::error_code code) {
-        if (!code)
-            finish(request, late ? status_late : 200, late ? "{}" : produce());
-    });
+    job->timer.async_wait(
+        [this, request, job, late, produce = std::move(produce)](
+            boost::system::error_code code) {
+            if (!code)
+                finish(
+                    job,
+                    request,
+                    late ? status_late : 200,
+                    late ? "{}" : produce());
+        });
 }
 
 void upstream_standin::finish(
-    const std::string& request, unsigned status, std::string body)
+    const work_ptr& job,
+    const std::string& request,
+    unsigned status,
+    std::string body)
 {
-    const auto found = working_.find(request);
-    if (found == working_.end())
+    auto [entry, end] = working_.equal_range(request);
+    while (entry != end && entry->second != job)
+        ++entry;
+    if (entry == end)
         return;
-    const auto job = found->second;
-    working_.erase(found);
+    working_.erase(entry);
     --ledger_.in_flight;
     shared_->domains[definition().domain.position()].leave();
     if (status == status_cancelled)
@@ -357,7 +366,12 @@
 {
     const auto id = json::parse(request.body()).at("request");
     send(answer, 200, "{}");
-    finish(id.get<std::string>(), status_cancelled, "{}");
+    const auto found = working_.find(id.get<std::string>());
+    if (found == working_.end())
+        return;
+    const auto job = found->second;
+    job->timer.cancel();
+    finish(job, id.get<std::string>(), status_cancelled, "{}");
 }
 
 void upstream_standin::send(
--- a/tests/standins/upstream_standin.hpp
+++ b/tests/standins/upstream_standin.hpp
@@ -48,6 +48,7 @@
 
 private:
     struct work;
+    using work_ptr = std::shared_ptr<work>;
 
     void on_connection();
     void on_request(const standin_request& request, respond answer);
@@ -63,7 +64,11 @@
         double deadline_ms,
         respond answer,
         std::function<std::string()> produce);
-    void finish(const std::string& request, unsigned status, std::string body);
+    void finish(
+        const work_ptr& job,
+        const std::string& request,
+        unsigned status,
+        std::string body);
     void send(const respond& answer, unsigned status, std::string body);
     void warm_up_if_due();
     [[nodiscard]] std::string search_body(const search_question& wanted);
@@ -83,7 +88,7 @@
     std::chrono::steady_clock::time_point cold_since_;
     std::uint64_t completed_when_cold_ = 0;
     std::string previous_body_;
-    std::unordered_multimap<std::string, std::shared_ptr<work>> working_;
+    std::unordered_multimap<std::string, work_ptr> working_;
 };
 
 } // namespace peridotward::testing
