--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -9,13 +9,20 @@
 using peridotward::ctl::verb;
 
 constexpr std::array verbs{
-    verb{"bundle", "check, digest", peridotward::ctl::run_bundle},
+    verb{
+        "bundle",
+        "check, compare, build and sign bundles",
+        peridotward::ctl::run_bundle},
     verb{"query", "run one search", peridotward::ctl::run_query},
     verb{
         "entries",
         "show which addresses callers use",
         peridotward::ctl::run_entries},
     verb{"dump", "show the state of instances", peridotward::ctl::run_dump},
+    verb{
+        "explain",
+        "show what one recent query did",
+        peridotward::ctl::run_explain},
     verb{"load", "drive searches and measure", peridotward::ctl::run_load},
 };
 
