--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -28,6 +28,7 @@
     http_client::completion done;
     std::size_t max_body_bytes = 0;
     bool too_large = false;
+    bool headers_ended = false; ///< The blank line after the fields came.
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
@@ -47,6 +48,10 @@
 {
     auto& self = *static_cast<exchange*>(user);
     const std::string_view line{data, size * count};
+    if (line.starts_with("HTTP/"))
+        self.headers_ended = false;
+    if (line == "\r\n" || line == "\n")
+        self.headers_ended = true;
     const auto colon = line.find(':');
     if (colon == std::string_view::npos)
         return line.size();
@@ -64,10 +69,22 @@
     return line.size();
 }
 
+/// \returns Whether the end of the answer is known from its own fields.
+/// libcurl takes a close within the fields, or after a body without a length,
+/// as the end of a whole answer.
+bool framed(const exchange& ended)
+{
+    const auto& headers = ended.response.headers;
+    return ended.headers_ended &&
+           (!find_header(headers, "content-length").empty() ||
+            !find_header(headers, "transfer-encoding").empty());
+}
+
 transport_outcome outcome_of(const exchange& ended, CURLcode code)
 {
     if (code == CURLE_OK)
-        return transport_outcome::answered;
+        return framed(ended) ? transport_outcome::answered
+                             : transport_outcome::broken;
     if (ended.too_large)
         return transport_outcome::body_too_large;
     long sent_bytes = 0;
--- /dev/null
+++ b/http/tests/http_client_test.cpp
@@ -0,0 +1,215 @@
+#include <peridotward/http/http_client.hpp>
+
+#include <catch2/catch.hpp>
+#include <standin_thread.hpp>
+
+#include <optional>
+
+using namespace peridotward;
+using peridotward::testing::make_response;
+using peridotward::testing::respond;
+using peridotward::testing::standin_request;
+using peridotward::testing::wire_fault;
+
+namespace {
+
+constexpr std::size_t max_body = 4096;
+
+/// A server whose answers a test spoils.
+class faulty_server
+{
+public:
+    faulty_server()
+    {
+        auto hooks = std::make_shared<testing::listener_hooks>();
+        hooks->on_connect = [this] {
+            ++connects_;
+            return true;
+        };
+        hooks->on_request = [this](const standin_request&, respond answer) {
+            ++requests_;
+            answer(make_response(200, body_), fault_);
+        };
+        testing::listen(thread_.context(), address.host, address.port, hooks);
+        thread_.start();
+    }
+
+    void behave(wire_fault fault, std::string body = "{\"ok\":true}")
+    {
+        thread_.ask([&] {
+            fault_ = fault;
+            body_ = std::move(body);
+        });
+    }
+
+    [[nodiscard]] int requests()
+    {
+        return thread_.ask([this] { return requests_; });
+    }
+    [[nodiscard]] int connects()
+    {
+        return thread_.ask([this] { return connects_; });
+    }
+
+    const endpoint address{"127.35.1.1", 9100};
+
+private:
+    int requests_ = 0;
+    int connects_ = 0;
+    wire_fault fault_;
+    std::string body_ = "{\"ok\":true}";
+    testing::standin_thread thread_;
+};
+
+client_response exchange(
+    http_client& client,
+    const endpoint& to,
+    const std::string& method = "GET",
+    bool fresh = false,
+    milliseconds timeout = seconds{5})
+{
+    client_request request;
+    request.to = to;
+    request.method = method;
+    request.path = "/v1/status";
+    request.body = method == "POST" ? "{}" : "";
+    request.fresh_connection = fresh;
+    request.timeout = timeout;
+    std::optional<client_response> ended;
+    client.submit(std::move(request), [&](client_response response) {
+        ended = std::move(response);
+    });
+    while (!ended)
+        client.poll(milliseconds{50});
+    return std::move(*ended);
+}
+
+} // namespace
+
+TEST_CASE("a cut answer is never taken as whole")
+{
+    faulty_server server;
+    http_client client{max_body};
+    for (int tenth = 0; tenth < 10; ++tenth) {
+        wire_fault fault;
+        fault.cut_at = tenth / 10.0;
+        server.behave(fault);
+        const auto response = exchange(client, server.address, "POST", true);
+        CAPTURE(tenth, response.status);
+        CHECK(response.outcome == transport_outcome::broken);
+    }
+    server.behave({});
+    const auto whole = exchange(client, server.address);
+    CHECK(whole.outcome == transport_outcome::answered);
+    CHECK(whole.body == "{\"ok\":true}");
+}
+
+TEST_CASE("a connection that fails after the request is reported as broken")
+{
+    faulty_server server;
+    http_client client{max_body};
+    wire_fault fault;
+    SECTION("half-closed")
+    {
+        fault.half_close = true;
+    }
+    SECTION("reset")
+    {
+        fault.reset = true;
+    }
+    server.behave(fault);
+    const auto response = exchange(client, server.address, "POST", true);
+    CHECK(response.outcome == transport_outcome::broken);
+    CHECK(server.requests() == 1);
+}
+
+TEST_CASE("an answer that does not arrive in time ends as timed out")
+{
+    faulty_server server;
+    http_client client{max_body};
+    wire_fault fault;
+    SECTION("silent")
+    {
+        fault.hang = true;
+    }
+    SECTION("one byte each 20 ms")
+    {
+        fault.drip = true;
+    }
+    server.behave(fault, std::string(1000, 'x'));
+    const auto response =
+        exchange(client, server.address, "GET", false, milliseconds{300});
+    CHECK(response.outcome == transport_outcome::timed_out);
+}
+
+TEST_CASE("an answer above the limit is refused")
+{
+    faulty_server server;
+    http_client client{max_body};
+    server.behave({}, std::string(max_body + 1, 'x'));
+    CHECK(
+        exchange(client, server.address).outcome ==
+        transport_outcome::body_too_large);
+}
+
+TEST_CASE("a request to a closed port was not sent")
+{
+    http_client client{max_body};
+    const auto response = exchange(client, {"127.35.1.2", 9100});
+    CHECK(response.outcome == transport_outcome::not_sent);
+}
+
+TEST_CASE("a read survives a connection that died while idle")
+{
+    faulty_server server;
+    http_client client{max_body};
+    wire_fault fault;
+    fault.close = true;
+    server.behave(fault);
+    REQUIRE(
+        exchange(client, server.address).outcome ==
+        transport_outcome::answered);
+    // The server closes the kept connection when the next request arrives.
+    server.behave({});
+    const auto second = exchange(client, server.address);
+    CHECK(second.outcome == transport_outcome::answered);
+    CHECK(server.connects() == 2);
+}
+
+TEST_CASE("a request on a fresh connection is sent once")
+{
+    faulty_server server;
+    http_client client{max_body};
+    REQUIRE(
+        exchange(client, server.address).outcome ==
+        transport_outcome::answered);
+    wire_fault fault;
+    fault.reset = true;
+    server.behave(fault);
+    const auto response = exchange(client, server.address, "POST", true);
+    CHECK(response.outcome == transport_outcome::broken);
+    CHECK(server.requests() == 2);
+    CHECK(server.connects() == 2);
+}
+
+TEST_CASE("an abandoned exchange calls nothing and leaves the others alone")
+{
+    faulty_server server;
+    http_client client{max_body};
+    wire_fault fault;
+    fault.hang = true;
+    server.behave(fault);
+    client_request request;
+    request.to = server.address;
+    bool called = false;
+    const auto call =
+        client.submit(request, [&](const client_response&) { called = true; });
+    client.poll(milliseconds{50});
+    client.abandon(call);
+    server.behave({});
+    CHECK(
+        exchange(client, server.address).outcome ==
+        transport_outcome::answered);
+    CHECK_FALSE(called);
+    CHECK(client.running() == 0);
+}
