--- a/core/include/peridotward/core/core.hpp
+++ b/core/include/peridotward/core/core.hpp
@@ -32,6 +32,6 @@
 #include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 #include <peridotward/core/upstream_budgets.hpp>
-#include <peridotward/core/wakeup_queue.hpp>
 #include <peridotward/core/usual_time.hpp>
+#include <peridotward/core/wakeup_queue.hpp>
 #include <peridotward/core/warmth.hpp>
