Say outcome_unknown for an id whose fate an owner cannot know

Cause: request_id_expired said not_run, yet an earlier owner may have run the same id, so the refusal could be untrue. Change: its row in the table says outcome_unknown. Conclusion: a caller must not send the entry again under a new id after this refusal.

--- a/base/include/peridotward/base/error_kind.hpp
+++ b/base/include/peridotward/base/error_kind.hpp
@@ -134,7 +134,7 @@
         error_kind::request_id_expired,
         "request_id_expired",
         409,
-        run_state::not_run,
+        run_state::outcome_unknown,
         false,
         "the request id is too old or too new to tell whether it ran"},
     error_answer{
