--- a/core/include/peridotward/core/fleet_timing.hpp
+++ b/core/include/peridotward/core/fleet_timing.hpp
@@ -24,13 +24,13 @@
     /// How long a raised share of a domain's limit waits for other instances.
     duration share_settle = milliseconds{5000};
     /// Between two probes that one instance sends.
-    duration probe_interval = milliseconds{250};
+    duration probe_interval = milliseconds{200};
     /// Wait for the answer to a direct probe.
     duration probe_timeout = milliseconds{100};
     /// From a probe to the suspicion of the silent member.
-    duration probe_limit = milliseconds{400};
+    duration probe_limit = milliseconds{300};
     /// From suspicion to death, unless the member refutes it.
-    duration suspicion_time = milliseconds{1000};
+    duration suspicion_time = milliseconds{900};
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/lease_controller.hpp
+++ b/core/include/peridotward/core/lease_controller.hpp
@@ -211,7 +211,7 @@
         const bundle& newer,
         const voter_list& voters,
         resource_id resource,
-        lease fresh,
+        const lease& fresh,
         time_point now) const;
     [[nodiscard]] std::vector<bool> carry_serving(const bundle& newer) const;
     void
--- a/core/include/peridotward/core/membership.hpp
+++ b/core/include/peridotward/core/membership.hpp
@@ -153,7 +153,8 @@
     void start_probe(time_point now, std::vector<outgoing>& out);
     void ask_others(const open_probe& open, std::vector<outgoing>& out);
     void check_probes(time_point now, std::vector<outgoing>& out);
-    void check_states(time_point now);
+    void check_states(time_point now, std::vector<outgoing>& out);
+    void tell_some(std::vector<outgoing>& out);
     void resume_after_pause(time_point now);
 
     member_update self_;
--- a/core/src/lease_controller.cpp
+++ b/core/src/lease_controller.cpp
@@ -48,12 +48,8 @@
         fresh.upstream = upstream_index{i};
         fresh.rank = static_cast<std::uint8_t>(rank);
         fresh.hand_back_wait = timing_.hand_back_wait;
-        leases.push_back(inherit(
-            *in_force,
-            voters,
-            newer.resource(fresh.upstream),
-            std::move(fresh),
-            now));
+        const auto resource = newer.resource(fresh.upstream);
+        leases.push_back(inherit(*in_force, voters, resource, fresh, now));
     }
     serving_ = carry_serving(*in_force);
     voters_ = std::move(newer);
@@ -72,7 +68,7 @@
     const bundle& newer,
     const voter_list& voters,
     resource_id resource,
-    lease fresh,
+    const lease& fresh,
     time_point now) const
 {
     if (!in_force_)
@@ -80,8 +76,9 @@
     const auto term = timing_.lease_term + timing_.lease_margin;
     const auto before = voters_.find(resource);
     if (!before.valid()) {
-        fresh.given.closed_until = now + term;
-        return fresh;
+        lease added = fresh;
+        added.given.closed_until = now + term;
+        return added;
     }
     const auto& older = voters_.of(before);
     const auto* known = find(before);
--- a/core/src/lease_holder.cpp
+++ b/core/src/lease_holder.cpp
@@ -166,13 +166,12 @@
     const bool voted = held.given.until > now;
     const bool for_itself = voted && held.given.holder == seat_ &&
                             held.given.incarnation == incarnation_;
+    const bool may_ask = for_itself || should_ask(held, now);
     if (held.refused) {
         held.next_request += milliseconds{random_.below(spread)};
         give_up(held, now, batches);
     }
-    else if (!for_itself && !should_ask(held, now))
-        give_up(held, now, batches);
-    else if (leaving_ || !serves(own_))
+    else if (!may_ask || leaving_ || !serves(own_))
         give_up(held, now, batches);
     else if (for_itself || !voted)
         request(held, now, batches);
--- a/core/src/membership.cpp
+++ b/core/src/membership.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Members told at once by a leaving instance.
-constexpr std::size_t leave_fan_out = 8;
 /// Each belief rides on this many messages for each doubling of the fleet.
 constexpr std::uint32_t spreads_per_doubling = 3;
 
@@ -128,10 +126,7 @@
     ++self_.refutation;
     self_spreads_left_ = spread_count();
     ++revision_;
-    for (std::size_t i = 0; i < leave_fan_out; ++i) {
-        if (auto* target = next_target())
-            send_probe(*target, ++sequence_, out);
-    }
+    tell_some(out);
     next_probe_ = std::min(next_probe_, now);
 }
 
--- a/core/src/membership_probes.cpp
+++ b/core/src/membership_probes.cpp
@@ -14,8 +14,10 @@
 constexpr std::size_t max_updates = 6;
 /// Others asked when a direct probe stays unanswered.
 constexpr std::size_t indirect_probes = 3;
-/// Instances that probe a suspect in each interval, on average.
-constexpr std::uint64_t suspect_probers = 8;
+/// Members told at once of a death or of the own leaving.
+constexpr std::size_t told_at_once = 8;
+/// Suspects that are told of their suspicion again in one interval.
+constexpr std::size_t max_reminders = 4;
 /// Part of the intervals in which a dead member is probed: one in this many.
 constexpr std::uint64_t dead_probe_part = 4;
 /// A suspicion by hearsay lasts this many times as long.
@@ -173,10 +175,11 @@
     send_probe(silent, ++sequence_, out);
 }
 
-void membership::check_states(time_point now)
+void membership::check_states(time_point now, std::vector<outgoing>& out)
 {
     std::sort(timed_.begin(), timed_.end());
     timed_.erase(std::unique(timed_.begin(), timed_.end()), timed_.end());
+    bool buried = false;
     for (const auto& id : std::exchange(timed_, {})) {
         const auto found = members_.find(id);
         if (found == members_.end())
@@ -185,26 +188,42 @@
         const auto limit = timing_.suspicion_time *
                            (known.suspected_here ? 1 : hearsay_factor);
         const bool suspect = known.belief.state == member_state::suspect;
-        if (suspect && now - known.changed >= limit)
+        if (suspect && now - known.changed >= limit) {
             set_state(known, member_state::dead, now);
+            buried = true;
+        }
         if (known.belief.state != member_state::alive)
             timed_.push_back(id);
     }
+    if (buried)
+        tell_some(out);
+}
+
+void membership::tell_some(std::vector<outgoing>& out)
+{
+    for (std::size_t i = 0; i < told_at_once; ++i) {
+        if (auto* target = next_target())
+            send_probe(*target, ++sequence_, out);
+    }
 }
 
 void membership::probe_extra(std::vector<outgoing>& out)
 {
-    if (timed_.empty())
+    std::size_t reminded = 0;
+    for (const auto& id : timed_) {
+        const auto found = members_.find(id);
+        const bool own_suspect =
+            found != members_.end() && found->second.suspected_here &&
+            found->second.belief.state == member_state::suspect;
+        if (own_suspect && ++reminded <= max_reminders)
+            send_probe(found->second, ++sequence_, out);
+    }
+    if (timed_.empty() || random_.below(dead_probe_part) != 0)
         return;
     const auto found = members_.find(timed_[random_.below(timed_.size())]);
-    if (found == members_.end())
-        return;
-    const auto state = found->second.belief.state;
-    const bool suspect = state == member_state::suspect &&
-                         random_.below(members_.size()) < suspect_probers;
-    const bool dead =
-        state == member_state::dead && random_.below(dead_probe_part) == 0;
-    if (suspect || dead)
+    const bool dead = found != members_.end() &&
+                      found->second.belief.state == member_state::dead;
+    if (dead)
         send_probe(found->second, ++sequence_, out);
 }
 
@@ -229,7 +248,7 @@
 {
     resume_after_pause(now);
     check_probes(now, out);
-    check_states(now);
+    check_states(now, out);
     if (now < next_probe_)
         return;
     next_probe_ = now + timing_.probe_interval;
