--- /dev/null
+++ b/core/bench/config_slopes.cpp
@@ -0,0 +1,112 @@
+#include "../tests/config_publisher.hpp"
+
+#include <chrono>
+#include <iostream>
+
+namespace {
+
+using namespace peridotward;
+using namespace peridotward::testing;
+
+constexpr int changes = 10;
+constexpr duration change_interval = seconds{20};
+constexpr duration slice = milliseconds{1};
+
+/// Frame header, tag and TCP/IP headers of one message, in bytes.
+constexpr std::uint64_t frame_bytes = 160;
+
+/// Totals over the members of a fleet.
+struct totals
+{
+    std::uint64_t calls = 0;
+    std::uint64_t service_bytes = 0;
+    std::uint64_t messages = 0;
+    std::uint64_t peer_bytes = 0;
+    std::uint64_t most_sent = 0; ///< By one member over the link.
+};
+
+totals read_totals(config_fleet& fleet)
+{
+    totals sum;
+    for (const auto& entry : fleet.members()) {
+        const auto& counted = entry->store->counters();
+        sum.calls += counted.service_calls;
+        sum.service_bytes += counted.service_bytes;
+        sum.messages += counted.peer_messages;
+        const auto sent =
+            counted.peer_bytes_sent + counted.peer_messages * frame_bytes;
+        sum.peer_bytes += sent;
+        sum.most_sent = std::max(sum.most_sent, sent);
+    }
+    return sum;
+}
+
+bool all_have(config_fleet& fleet, bundle_version version)
+{
+    for (const auto& entry : fleet.members()) {
+        const auto& current = entry->store->in_force();
+        if (!current || current->version != version)
+            return false;
+    }
+    return true;
+}
+
+double milliseconds_of(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+void measure(int instances)
+{
+    sample_size size = design_size;
+    size.seats = instances;
+    config_publisher publisher{size};
+    config_fleet fleet{instances, publisher.policy(), 3};
+    publisher.publish(fleet, 1);
+    fleet.start_all();
+    fleet.run(change_interval);
+    const auto before = read_totals(fleet);
+    duration slowest{0};
+    for (bundle_version version = 2; version < 2 + changes; ++version) {
+        const auto published = fleet.now();
+        publisher.publish(fleet, version);
+        while (!all_have(fleet, version))
+            fleet.run(slice);
+        slowest = std::max(slowest, fleet.now() - published);
+        fleet.run(change_interval - (fleet.now() - published));
+    }
+    const auto after = read_totals(fleet);
+    const auto share = static_cast<std::uint64_t>(changes);
+    const auto each = share * static_cast<std::uint64_t>(instances);
+    std::cout << instances << "\t" << milliseconds_of(slowest) << "\t"
+              << (after.calls - before.calls) / share << "\t"
+              << (after.service_bytes - before.service_bytes) / share << "\t"
+              << (after.messages - before.messages) / share << "\t"
+              << (after.peer_bytes - before.peer_bytes) / each << "\t"
+              << after.most_sent / share << "\n";
+}
+
+void measure_processor()
+{
+    const auto files = split_bundle(sample_bundle(1, design_size)).value();
+    const auto start = std::chrono::steady_clock::now();
+    const auto built = assemble_bundle(files.root, files.parts);
+    const auto spent = std::chrono::steady_clock::now() - start;
+    std::size_t bytes = 0;
+    for (const auto& [digest, part] : files.parts)
+        bytes += part.size();
+    std::cout << "one assembly of " << files.parts.size() << " parts, " << bytes
+              << " bytes: " << milliseconds_of(spent) << " ms\n";
+}
+
+} // namespace
+
+int main()
+{
+    std::cout << "each change, at 3201 upstreams, one change per 20 s\n"
+              << "fleet\tlast ms\tcalls\tservice B\tmessages\tpeer B each\t"
+                 "most sent B\n";
+    for (const int instances : {8, 16, 32, 64})
+        measure(instances);
+    measure_processor();
+}
