--- a/instance/src/fleet_runner.cpp
+++ b/instance/src/fleet_runner.cpp
@@ -74,10 +74,10 @@
       link_{link_options(), link_events()}
 {
     on<probe>([this](const peer_source& from, const probe& message) {
-        members_.on_message(from.seat, message, state_->loop.now(), out_);
+        hear_probe(from, message);
     });
     on<probe_ack>([this](const peer_source& from, const probe_ack& message) {
-        members_.on_message(from.seat, message, state_->loop.now(), out_);
+        hear_probe(from, message);
     });
     on<probe_request>(
         [this](const peer_source& from, const probe_request& message) {
@@ -151,6 +151,14 @@
     return events;
 }
 
+template<class Message>
+void fleet_runner::hear_probe(const peer_source& from, const Message& message)
+{
+    members_.on_message(from.seat, message, state_->loop.now(), out_);
+    if (heard_)
+        heard_(from.seat, message.config);
+}
+
 void fleet_runner::take(const peer_source& from, peer_message message)
 {
     const auto& handler = handlers_[message.index()];
@@ -173,7 +181,7 @@
         for (const auto& handler : bundles_)
             handler(now);
     }
-    if (state_->listed.version != followed_list_ && in_force) {
+    if (state_->listed.version != followed_list_) {
         followed_list_ = state_->listed.version;
         members_.on_list(state_->listed, now);
         budgets_.on_list(state_->listed, now);
@@ -182,9 +190,12 @@
 
 void fleet_runner::follow_members()
 {
-    if (members_.revision() == members_revision_)
+    if (started_ && members_.revision() == members_revision_)
         return;
+    started_ = true;
     members_revision_ = members_.revision();
+    if (changed_)
+        changed_();
     leases_.on_members(members_, state_->loop.now());
     std::map<std::string, endpoint> addresses;
     for (const auto& [seat, known] : members_.members()) {
@@ -211,11 +222,10 @@
 {
     const auto now = state_->loop.now();
     follow_state();
-    if (followed_) {
-        members_.set_config(
-            {followed_->version, followed_->digest, followed_list_});
+    if (summary_)
+        members_.set_config(summary_());
+    if (followed_)
         members_.set_ready(!state_->leaving, now);
-    }
     follow_leaving(now);
     members_.on_time(now, out_);
     follow_members();
--- a/instance/src/fleet_runner.hpp
+++ b/instance/src/fleet_runner.hpp
@@ -31,6 +31,8 @@
     using ticket_handler =
         std::function<void(const std::string& seat, delivery_ticket ticket)>;
     using seat_handler = std::function<void(const std::string& seat)>;
+    using summary_handler = std::function<void(
+        const std::string& seat, const config_summary& theirs)>;
     using time_handler = std::function<void(time_point now)>;
 
     explicit fleet_runner(node_state& state);
@@ -75,6 +77,19 @@
         bundles_.push_back(std::move(handler));
     }
 
+    /// Sets who hears what members have in force.
+    void on_summary(summary_handler handler) { heard_ = std::move(handler); }
+    /// Sets who is called at the start and when a member changed.
+    void on_members(std::function<void()> handler)
+    {
+        changed_ = std::move(handler);
+    }
+    /// Sets what own probes say of the configuration.
+    void use_summary(std::function<config_summary()> source)
+    {
+        summary_ = std::move(source);
+    }
+
     /// Refuses connections with these seats; for tests of cut links.
     void refuse(std::set<std::string> seats) { link_.refuse(std::move(seats)); }
 
@@ -109,6 +124,8 @@
 
     [[nodiscard]] peer_link_options link_options() const;
     [[nodiscard]] peer_link_events link_events();
+    template<class Message>
+    void hear_probe(const peer_source& from, const Message& message);
     void take(const peer_source& from, peer_message message);
     void tick();
     void follow_members();
@@ -125,12 +142,16 @@
     std::vector<seat_handler> lost_;
     std::vector<time_handler> ticks_;
     std::vector<time_handler> bundles_;
+    summary_handler heard_;
+    std::function<void()> changed_;
+    std::function<config_summary()> summary_;
     std::vector<outgoing> out_;
     bundle_ptr followed_;
     std::uint64_t followed_list_ = 0;
     std::uint64_t members_revision_ = 0;
     delivery_ticket last_ticket_ = 0;
     bool told_leaving_ = false;
+    bool started_ = false;
     peer_link link_; ///< Last: its thread posts to this object.
 };
 
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -1,4 +1,5 @@
 #include "caller_api.hpp"
+#include "config_link.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
 #include "owner_desk.hpp"
@@ -61,6 +62,7 @@
               }},
           operators{state, callers, fleet},
           platform{state},
+          configuration{fleet, platform.config()},
           caller_server{
               options_of("callers", state.configured.callers),
               [this](exchange_id id, http_request request) {
@@ -97,6 +99,7 @@
     caller_api callers;
     operator_api operators;
     platform_reader platform;
+    config_link configuration;
     http_server caller_server;
     http_server operator_server;
     std::atomic<int> stop_requests{0};
@@ -111,7 +114,8 @@
 
 result<void> node::start()
 {
-    return impl_->caller_server.start()
+    return impl_->platform.prepare()
+        .and_then([&] { return impl_->caller_server.start(); })
         .and_then([&] { return impl_->operator_server.start(); })
         .and_then([&] { return impl_->fleet.start(); });
 }
