--- a/config/include/peridotward/config/settings.hpp
+++ b/config/include/peridotward/config/settings.hpp
@@ -37,7 +37,8 @@
     endpoint address;
     std::size_t max_frame_bytes = 4U << 20U;
     std::string key_file; ///< Shared key of the fleet; empty for none.
-    bool test_filter = false; ///< Whether operators may cut links in tests.
+    /// Whether operators may cut links, for tests.
+    bool test_filter = false;
 };
 
 /// \brief Where the users' platform publishes.
--- /dev/null
+++ b/instance/tests/slot_queue_test.cpp
@@ -0,0 +1,140 @@
+#include "slot_queue.hpp"
+
+#include <peridotward/base/clock.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace peridotward;
+
+namespace {
+
+constexpr std::string_view one_upstream = R"({
+    "version": 1, "deployment": "test",
+    "domains": [{"id": "d", "region": "r", "state": "in"}],
+    "seats": [{"id": "s", "domain": "d"}],
+    "caller_classes": [{"id": "c", "priority": "normal"}],
+    "services": [{"id": "shard", "kind": "search", "slots": 1,
+        "connections": 10, "cold_slots": 1, "connect_cost_ms": 1,
+        "cold_ramp_ms": 1000}],
+    "upstreams": [{"id": "u", "service": "shard", "domain": "d",
+        "address": "127.33.1.1:9000"}],
+    "shard_maps": [{"id": "m", "from_snapshot": 1, "key_space": 10,
+        "shards": [{"service": "shard", "range": [0, 10]}]}],
+    "searches": [{"id": "all", "map": "m"}]
+})";
+
+/// One seat that holds the lease on one upstream with one slot.
+struct held_upstream
+{
+    held_upstream() : leases{"s", 1, time.now(), 7}, budgets{leases}
+    {
+        member_update self;
+        self.id = "s";
+        self.incarnation = 1;
+        membership members{self, 7};
+        const auto in_force = parse_bundle(one_upstream).value();
+        members.on_seats(*in_force);
+        members.set_ready(true, time.now());
+        leases.on_bundle(in_force, time.now());
+        budgets.on_bundle(in_force, time.now());
+        resource = resource_of(in_force->upstreams.front());
+        for (int i = 0; i < 100; ++i) {
+            leases.on_members(members, time.now());
+            step(milliseconds{50});
+        }
+        REQUIRE(leases.holds(upstream_index{0}, time.now()));
+    }
+
+    void step(duration passed)
+    {
+        time.advance(passed);
+        std::vector<outgoing> out;
+        leases.on_time(time.now(), budgets.busy(), out);
+        queue.on_time(time.now());
+    }
+
+    void submit(std::uint64_t id, caller_priority priority, bool hedge = false)
+    {
+        slot_work work;
+        work.upstream = resource;
+        work.priority = priority;
+        work.hedge = hedge;
+        work.deadline = time.now() + milliseconds{500};
+        work.run = [this, id](const budget_grant& granted) {
+            ran += std::to_string(id);
+            grant = granted;
+        };
+        work.refuse = [this, id](bool) { refused += std::to_string(id); };
+        queue.submit(work_id{id}, std::move(work), time.now());
+    }
+
+    void end()
+    {
+        budgets.on_end(
+            grant, attempt_outcome::answered, {}, milliseconds{1}, time.now());
+        queue.on_free(resource, time.now());
+    }
+
+    manual_clock time;
+    lease_controller leases;
+    upstream_budgets budgets;
+    slot_queue queue{leases, budgets};
+    resource_id resource{};
+    budget_grant grant;
+    std::string ran;
+    std::string refused;
+};
+
+} // namespace
+
+TEST_CASE("slot queue - work waits by priority and is over before the lease")
+{
+    held_upstream held;
+    held.submit(1, caller_priority::normal);
+    CHECK(held.ran == "1");
+    CHECK(held.grant.latest_end <= held.leases.valid_until(upstream_index{0}));
+    held.submit(2, caller_priority::normal);
+    held.submit(3, caller_priority::urgent);
+    CHECK(held.ran == "1");
+    held.end();
+    held.end();
+    CHECK(held.ran == "132");
+    CHECK(held.refused.empty());
+}
+
+TEST_CASE("slot queue - hedges never wait, and nothing waits past its end")
+{
+    held_upstream held;
+    held.submit(1, caller_priority::normal);
+    held.submit(2, caller_priority::normal, true);
+    CHECK(held.refused == "2");
+    held.submit(3, caller_priority::normal);
+    held.submit(4, caller_priority::normal);
+    CHECK(held.queue.withdraw(work_id{4}));
+    CHECK_FALSE(held.queue.withdraw(work_id{4}));
+    for (int i = 0; i < 12; ++i)
+        held.step(milliseconds{50});
+    CHECK(held.refused == "23");
+    CHECK(held.queue.waiting() == 0);
+}
+
+TEST_CASE("slot queue - the line is bounded")
+{
+    held_upstream held;
+    held.submit(1, caller_priority::normal);
+    for (std::size_t i = 0; i <= slot_queue::max_waiting; ++i)
+        held.submit(100 + i, caller_priority::bulk);
+    CHECK(held.queue.waiting() == slot_queue::max_waiting);
+    CHECK_FALSE(held.refused.empty());
+}
+
+TEST_CASE("slot queue - a paused owner sends nothing on waking")
+{
+    held_upstream held;
+    held.time.advance(seconds{10});
+    held.submit(1, caller_priority::normal);
+    CHECK(held.ran.empty());
+    CHECK(held.refused == "1");
+}
