--- a/core/include/peridotward/core/admission_lane.hpp
+++ b/core/include/peridotward/core/admission_lane.hpp
@@ -32,10 +32,10 @@
         admission_actions& out);
 
     /// \brief Notes the end of a query that had started at `started`;
-    /// `refused` is the share of its attempts that met no free slot.
+    /// `stalled` is the share of its parts that met no free slot.
     void on_finished(
         time_point started,
-        double refused,
+        double stalled,
         time_point now,
         admission_actions& out);
 
--- a/core/include/peridotward/core/concurrency_limit.hpp
+++ b/core/include/peridotward/core/concurrency_limit.hpp
@@ -10,31 +10,34 @@
 /// \brief Finds how many queries at once the upstreams bear.
 ///
 /// \remarks Grows by one for each `limit` queries that ended without pressure
-/// while the limit was in use, and shrinks by a tenth when upstreams or their
-/// owners refused too many attempts, at most once for each generation of
-/// queries. Source: Chiu, Jain, "Analysis of the increase and decrease
+/// while the limit was in use, and shrinks by a tenth to a half when upstreams
+/// or their owners let too many parts stall, at most once for each generation
+/// of queries. Source: Chiu, Jain, "Analysis of the increase and decrease
 /// algorithms for congestion avoidance", 1989.
 class concurrency_limit
 {
 public:
-    static constexpr double first_limit = 32;
+    static constexpr double first_limit = 16;
     static constexpr double least_limit = 2;
     static constexpr double greatest_limit = 4096;
-    /// \brief Share of refused attempts in one query that means pressure.
-    static constexpr double tolerated_refusals = 0.05;
+    /// \brief Share of stalled parts in one query that means pressure.
+    static constexpr double tolerated_stalls = 0.2;
 
-    /// \brief Notes the end of a query that started at `started`; `refused`
-    /// is the share of its attempts that met no free slot, in [0, 1].
+    /// \brief Notes the end of a query that started at `started`; `stalled`
+    /// is the share of its parts that met no free slot, in [0, 1].
     void on_finished(
         time_point started,
-        double refused,
+        double stalled,
         std::uint32_t running,
         time_point now) noexcept
     {
-        if (refused > tolerated_refusals) {
+        stalled_ += (stalled - stalled_) / memory;
+        if (stalled_ > tolerated_stalls) {
             // Queries that started before the last decrease tell nothing new.
             if (started >= last_decrease_) {
-                limit_ = std::max(least_limit, limit_ * decrease);
+                const auto kept =
+                    std::clamp(1 - stalled_ / 2, least_kept, greatest_kept);
+                limit_ = std::max(least_limit, limit_ * kept);
                 last_decrease_ = now;
             }
             return;
@@ -50,9 +53,12 @@
     }
 
 private:
-    static constexpr double decrease = 0.9;
+    static constexpr double least_kept = 0.5;
+    static constexpr double greatest_kept = 0.9;
+    static constexpr double memory = 8; // queries
 
     double limit_ = first_limit;
+    double stalled_ = 0; ///< Moving average.
     time_point last_decrease_{};
 };
 
--- a/core/include/peridotward/core/hedge_budget.hpp
+++ b/core/include/peridotward/core/hedge_budget.hpp
@@ -6,38 +6,54 @@
 
 namespace peridotward {
 
+/// \brief What a `hedge_budget` grants.
+struct hedge_limits
+{
+    double share = 0.05;      ///< Extra requests per first one.
+    double most_saved = 64;   ///< Requests.
+    bool in_overload = false; ///< Whether anything is granted in overload.
+};
+
+/// \brief Limits that grant every hedge and retry; a baseline.
+inline constexpr hedge_limits unlimited_hedges{1000, 1e9, true};
+
 /// \brief Shared allowance of one instance for hedges and retries.
 ///
 /// \remarks Every part of a query whose first request reached an upstream
-/// earns `share` of a request, and every hedge or retry takes a whole one, so
-/// the extra requests never exceed `share` of the first ones. Nothing is
+/// earns its share of a request, and every hedge or retry takes a whole one, so
+/// the extra requests never exceed that share of the first ones. Nothing is
 /// granted under overload. Source: retry budgets as in "Finagle" and Dean,
 /// Barroso, "The tail at scale", 2013.
 class hedge_budget
 {
 public:
-    static constexpr double share = 0.05;
-    static constexpr double most_saved = 64;
     /// \brief Share of shed among recent attempts that means overload.
     static constexpr double overload_share = 0.05;
 
+    explicit hedge_budget(hedge_limits limits = {}) noexcept : limits_{limits}
+    {}
+
     /// \brief Earns for a part whose first request reached an upstream.
     void on_first_sent() noexcept
     {
-        saved_ = std::min(saved_ + share, most_saved);
+        saved_ = std::min(saved_ + limits_.share, limits_.most_saved);
     }
 
     /// \returns Whether one extra request may be sent; takes it if so.
     [[nodiscard]] bool take() noexcept
     {
-        if (overloaded() || saved_ < 1)
+        const bool held_back = overloaded() && !limits_.in_overload;
+        if (held_back || saved_ < 1)
             return false;
         saved_ -= 1;
         return true;
     }
 
     /// \brief Gives back what was taken for a request that was not sent.
-    void give_back() noexcept { saved_ = std::min(saved_ + 1, most_saved); }
+    void give_back() noexcept
+    {
+        saved_ = std::min(saved_ + 1, limits_.most_saved);
+    }
 
     /// \brief Notes the end of any attempt.
     void on_ended(attempt_outcome outcome) noexcept
@@ -60,6 +76,7 @@
 private:
     static constexpr double memory = 128; // attempts
 
+    hedge_limits limits_;
     double saved_ = 0;
     double shed_share_ = 0;
     bool waiting_ = false;
--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query.hpp
@@ -36,6 +36,8 @@
     static constexpr std::uint32_t max_tries = 4;
     /// \brief Attempts of one part that nothing was sent for.
     static constexpr std::uint32_t max_redirects = 12;
+    /// \brief Redirects of one part that go out without a pause.
+    static constexpr std::uint32_t prompt_redirects = 2;
     /// \brief Times that a query may start anew on a newer snapshot.
     static constexpr std::uint32_t max_replans = 2;
 
@@ -96,6 +98,13 @@
     /// \returns The hedges and retries decided so far.
     [[nodiscard]] std::uint32_t extras() const noexcept { return extras_; }
 
+    /// \returns The share of parts that met no free slot, in [0, 1].
+    [[nodiscard]] double stalled_share() const noexcept
+    {
+        return parts_.empty() ? 0.0
+                              : static_cast<double>(stalled_) / parts_.size();
+    }
+
     /// \returns How often the query started anew on a newer snapshot.
     [[nodiscard]] std::uint32_t replans() const noexcept { return replans_; }
 
@@ -120,7 +129,8 @@
     {
         bool merged = false;
         bool given_up = false;
-        bool earned = false; ///< The budget was told of the first request.
+        bool stalled = false; ///< Met no free slot, or was shed.
+        bool earned = false;  ///< The budget was told of the first request.
         attempt_outcome last = attempt_outcome::not_sent;
         std::uint8_t in_flight = 0; ///< Entries of `live` in use.
         std::uint8_t tries = 0;
@@ -134,6 +144,7 @@
     struct sent_attempt
     {
         std::uint32_t part = 0;
+        upstream_index upstream;
         bool live = false;
         bool extra = false;
         bool hedge = false;
@@ -162,11 +173,18 @@
     {
         return part.merged || part.given_up;
     }
+    [[nodiscard]] static attempt_kind kind_of(const part_state& part) noexcept
+    {
+        if (part.in_flight > 0)
+            return attempt_kind::hedge;
+        return part.tries > 0 ? attempt_kind::retry : attempt_kind::first;
+    }
     void note_end(
         std::uint64_t number,
         const attempt_result& ended,
         hedge_budget& budget) noexcept;
     void merge(std::uint32_t part, query_actions& out);
+    void note_stall(part_state& part) noexcept;
     void give_up(std::uint32_t part) noexcept;
     void send(
         std::uint32_t part,
@@ -176,6 +194,7 @@
     void wake_at(std::uint32_t part, time_point due);
     [[nodiscard]] duration
     backoff(const part_state& part, random_source& random) const;
+    void forget_tried(part_state& part) noexcept;
     void cancel_live(std::uint32_t part, query_actions& out);
     void finish_if_settled(query_actions& out);
     void finish_at_deadline(query_actions& out);
@@ -191,6 +210,7 @@
     std::uint32_t live_ = 0;
     std::uint32_t extras_ = 0;
     std::uint32_t replans_ = 0;
+    std::uint32_t stalled_ = 0;
     bool sent_ = false;
     bool finished_ = false;
 };
--- a/core/include/peridotward/core/query_impl.hpp
+++ b/core/include/peridotward/core/query_impl.hpp
@@ -38,10 +38,14 @@
     else if (!was_hedge || ended.sent) {
         state.last = ended.outcome;
     }
-    if (!merged && state.in_flight == 0)
+    const bool prompt =
+        !ended.sent && state.tries == 0 && state.redirects <= prompt_redirects;
+    if (!merged && prompt)
+        try_part(part, attempt_kind::first, policy, now, out);
+    else if (!merged && state.in_flight == 0)
         after_failure(part, policy, now);
     else if (!merged && was_hedge && !ended.sent)
-        await_hedge(part, policy, now);
+        wake_at(part, now + backoff(state, *policy.random));
     finish_if_settled(out);
     return merged;
 }
@@ -62,12 +66,7 @@
         const auto& state = parts_[wakeup.part];
         if (settled(state) || wakeup.serial != state.serial)
             continue;
-        auto kind = attempt_kind::first;
-        if (state.in_flight > 0)
-            kind = attempt_kind::hedge;
-        else if (state.tries > 0)
-            kind = attempt_kind::retry;
-        try_part(wakeup.part, kind, policy, now, out);
+        try_part(wakeup.part, kind_of(state), policy, now, out);
     }
     finish_if_settled(out);
 }
@@ -122,12 +121,15 @@
          hedge,
          now});
     if (!chosen) {
-        if (hedge)
+        ++state.redirects;
+        forget_tried(state);
+        if (hedge) {
+            if (state.redirects < max_redirects)
+                wake_at(part, now + backoff(state, *policy.random));
             return;
+        }
         out.snapshot_lost =
             out.snapshot_lost || state.last == attempt_outcome::wrong_snapshot;
-        ++state.redirects;
-        state.tried_count = 0;
         after_failure(part, policy, now);
         return;
     }
--- a/core/include/peridotward/core/replica_stats.hpp
+++ b/core/include/peridotward/core/replica_stats.hpp
@@ -14,8 +14,8 @@
     std::uint32_t in_flight = 0;    ///< Attempts of this instance.
     std::uint16_t error_streak = 0; ///< Failures since the last answer.
     std::uint16_t shed_streak = 0;  ///< Sheds since the last answer.
-    std::uint32_t free_slots = 0;   ///< As last told by the owner.
-    bool free_slots_known = false;
+    std::uint16_t overtaken = 0;    ///< Hedges won since the last answer.
+    time_point full_seen{};         ///< When its owner had no free slot.
     upstream_phase phase = upstream_phase::unknown;
     time_point phase_seen{};
     duration latency{}; ///< Moving average of answers.
@@ -43,7 +43,7 @@
     /// \brief Share of answers that arrive before a hedge is sent.
     static constexpr double hedge_quantile = 0.96;
     /// \brief Answers that a shard needs before its quantiles are used.
-    static constexpr std::uint32_t enough_answers = 32;
+    static constexpr std::uint32_t enough_answers = 8;
 
     /// \brief Keeps what is known under the indices of `next`; upstreams and
     /// services are matched by id.
--- a/core/src/adaptive_replica.cpp
+++ b/core/src/adaptive_replica.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint64_t cold_trial_interval = 16; // choices
 constexpr seconds latency_lifetime{2};
 constexpr seconds phase_lifetime{5};
+constexpr milliseconds full_lifetime{2};
 constexpr double own_domain_factor = 0.9;
 constexpr double unknown_latency_us = 1000;
 
@@ -47,7 +48,7 @@
             return tier::unusable;
         return tier::cold;
     }
-    if (seen.free_slots_known && seen.free_slots == 0 && wish.hedge)
+    if (wish.now - seen.full_seen < full_lifetime)
         return tier::failing;
     const bool failed = seen.error_streak > 0 || seen.shed_streak > 0;
     if (wish.now < seen.avoid_until || (failed && seen.in_flight > 0))
--- a/core/src/admission_lane.cpp
+++ b/core/src/admission_lane.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int mean_weight = 16;
-constexpr double needed_quantile = 0.25;
+constexpr double needed_quantile = 0.9;
 constexpr std::uint32_t enough_queries = 16;
 constexpr milliseconds least_retry_after{10};
 constexpr milliseconds greatest_retry_after{5000};
@@ -42,9 +42,9 @@
 }
 
 void admission_lane::on_finished(
-    time_point started, double refused, time_point now, admission_actions& out)
+    time_point started, double stalled, time_point now, admission_actions& out)
 {
-    limit_.on_finished(started, refused, --running_, now);
+    limit_.on_finished(started, stalled, --running_, now);
     const auto elapsed = now - started;
     latencies_.add(elapsed);
     if (mean_ == duration::zero())
@@ -112,9 +112,9 @@
     return mean_ * (ahead + 1) / limit_.allowed();
 }
 
-/// A query needs what a quarter of the others finish in, but never more than
-/// half of its own time: a lane whose queries all run to their deadline must
-/// not refuse everything.
+/// A query needs what nine of ten others finish in, but never more than half
+/// of its own time: a lane whose queries all run to their deadline must not
+/// refuse everything.
 bool admission_lane::reachable(
     const admission_request& entry, time_point start) const noexcept
 {
--- a/core/src/query.cpp
+++ b/core/src/query.cpp
@@ -37,6 +37,7 @@
     due_.clear();
     due_.reserve(2 * parts_.size() + spare_attempts);
     merged_keys_ = 0;
+    stalled_ = 0;
     open_parts_ = static_cast<std::uint32_t>(parts_.size());
 }
 
@@ -112,9 +113,13 @@
     auto* const place = std::find(state.live.begin(), last, number);
     *place = *(last - 1);
     --state.in_flight;
+    if (ended.outcome == attempt_outcome::shed)
+        note_stall(state);
     if (!ended.sent) {
         --state.tries;
         ++state.redirects;
+        if (state.redirects > prompt_redirects)
+            note_stall(state);
         if (known.extra) {
             --extras_;
             budget.give_back();
@@ -126,6 +131,12 @@
     }
 }
 
+void query::note_stall(part_state& part) noexcept
+{
+    stalled_ += part.stalled ? 0 : 1;
+    part.stalled = true;
+}
+
 void query::merge(std::uint32_t part, query_actions& out)
 {
     auto& state = parts_[part];
@@ -150,7 +161,7 @@
     auto& state = parts_[part];
     const bool hedge = kind == attempt_kind::hedge;
     const bool extra = kind != attempt_kind::first;
-    attempts_.push_back({part, true, extra, hedge});
+    attempts_.push_back({part, chosen, true, extra, hedge});
     const auto number = static_cast<std::uint64_t>(attempts_.size());
     state.tried[state.tried_count++] = chosen;
     ++state.tries;
@@ -181,8 +192,9 @@
         base = shed_backoff;
     else if (part.tries > 0)
         base = failure_backoff;
+    const auto prompt = std::min<unsigned>(part.redirects, prompt_redirects);
     const auto doublings =
-        std::min<unsigned>(part.tries + part.redirects, most_doublings);
+        std::min(part.tries + part.redirects - prompt, most_doublings);
     const auto whole =
         std::min<duration>(base * (1U << doublings), longest_backoff);
     // Half of the pause is random, so that retries do not meet.
@@ -190,6 +202,14 @@
     return whole / 2 + duration{static_cast<duration::rep>(jitter)};
 }
 
+/// Lets upstreams be tried again, but for those that still work on it.
+void query::forget_tried(part_state& part) noexcept
+{
+    part.tried_count = 0;
+    for (std::size_t i = 0; i < part.in_flight; ++i)
+        part.tried[part.tried_count++] = attempts_[part.live[i] - 1U].upstream;
+}
+
 void query::cancel_live(std::uint32_t part, query_actions& out)
 {
     auto& state = parts_[part];
--- a/core/src/replica_stats.cpp
+++ b/core/src/replica_stats.cpp
@@ -10,6 +10,8 @@
 constexpr std::uint32_t refresh_interval = 16; // answers
 constexpr double least_quantile = 0.02;
 constexpr int average_weight = 8;
+constexpr int rise_weight = 2;
+constexpr std::uint16_t overtaken_limit = 3;
 constexpr milliseconds first_pause{50};
 constexpr milliseconds longest_pause{2000};
 constexpr milliseconds drain_pause{1000};
@@ -17,7 +19,7 @@
 
 void refresh(shard_latency& shard) noexcept
 {
-    shard.until_refresh = refresh_interval;
+    shard.until_refresh = std::min(refresh_interval, shard.recent.count() / 4);
     shard.typical = shard.recent.quantile(0.5);
     shard.least = shard.recent.quantile(least_quantile);
     shard.hedge_after = shard.recent.quantile(replica_stats::hedge_quantile);
@@ -83,12 +85,13 @@
     if (replica.in_flight > 0)
         --replica.in_flight;
     on_report(upstream, ended.report, now);
-    replica.free_slots_known = ended.free_slots.has_value();
-    replica.free_slots = ended.free_slots.value_or(0);
+    if (ended.free_slots)
+        replica.full_seen = *ended.free_slots == 0 ? now : time_point{};
     switch (ended.outcome) {
     case attempt_outcome::answered:
         replica.error_streak = 0;
         replica.shed_streak = 0;
+        replica.overtaken = 0;
         replica.avoid_until = now;
         note_latency(replica, shard, ended.elapsed, now);
         break;
@@ -102,8 +105,11 @@
         // A withdrawn attempt was at least this slow; only beyond the hedge
         // delay does it say something of the latency.
         if (ended.sent && shard.hedge_after > duration::zero() &&
-            ended.elapsed > shard.hedge_after)
+            ended.elapsed > shard.hedge_after) {
             note_latency(replica, shard, ended.elapsed, now);
+            if (++replica.overtaken >= overtaken_limit)
+                note_failure(replica, replica.error_streak, now);
+        }
         break;
     case attempt_outcome::timed_out:
         note_latency(replica, shard, ended.elapsed, now);
@@ -147,7 +153,9 @@
     if (replica.latency == duration::zero())
         replica.latency = elapsed;
     else
-        replica.latency += (elapsed - replica.latency) / average_weight;
+        replica.latency +=
+            (elapsed - replica.latency) /
+            (elapsed > replica.latency ? rise_weight : average_weight);
     replica.latency_seen = now;
 }
 
--- a/instance/src/running_search.hpp
+++ b/instance/src/running_search.hpp
@@ -31,15 +31,7 @@
     query state;
     std::vector<json> records;        ///< One array for each part of the plan.
     std::vector<attempt_trace> trace; ///< By the number of the attempt.
-    std::uint32_t refused = 0;        ///< Attempts that met no free slot.
     time_point armed = time_point::max(); ///< Earliest timer that is set.
-
-    /// \returns The share of attempts that met no free slot, in [0, 1].
-    [[nodiscard]] double refused_share() const noexcept
-    {
-        const auto attempts = state.attempts();
-        return attempts == 0 ? 0.0 : static_cast<double>(refused) / attempts;
-    }
 };
 
 /// \returns The answer to the caller; takes the records.
--- a/instance/src/search_queue.cpp
+++ b/instance/src/search_queue.cpp
@@ -19,10 +19,10 @@
 }
 
 void search_queue::on_finished(
-    const search& definition, time_point started, double refused)
+    const search& definition, time_point started, double stalled)
 {
     admission_.lane(definition)
-        .on_finished(started, refused, state_->loop.now(), decided_);
+        .on_finished(started, stalled, state_->loop.now(), decided_);
     settle();
 }
 
--- a/instance/src/search_queue.hpp
+++ b/instance/src/search_queue.hpp
@@ -23,7 +23,7 @@
 
     /// Notes the end of an admitted search.
     void
-    on_finished(const search& definition, time_point started, double refused);
+    on_finished(const search& definition, time_point started, double stalled);
 
     /// Drops a waiting search whose caller has left.
     bool caller_gone(exchange_id exchange);
--- a/instance/src/search_runner.cpp
+++ b/instance/src/search_runner.cpp
@@ -20,12 +20,6 @@
     return static_cast<std::uint64_t>(id);
 }
 
-bool met_no_slot(attempt_outcome outcome) noexcept
-{
-    return outcome == attempt_outcome::shed ||
-           outcome == attempt_outcome::not_sent;
-}
-
 } // namespace
 
 search_runner::search_runner(
@@ -329,8 +323,6 @@
 void search_runner::note_trace(
     running_search& run, const attempt_result& result)
 {
-    if (met_no_slot(result.outcome))
-        ++run.refused;
     const auto number = key_of(result.id) & attempt_number_mask;
     if (number == 0 || number > run.trace.size())
         return;
@@ -367,7 +359,9 @@
 {
     const auto& start = run.state.start();
     queue_.on_finished(
-        start.in_force->at(start.search), run.started, run.refused_share());
+        start.in_force->at(start.search),
+        run.started,
+        run.state.stalled_share());
 }
 
 } // namespace peridotward
