--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -8,6 +8,7 @@
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
 #include <peridotward/config/settings.hpp>
+#include <peridotward/core/config_store.hpp>
 #include <peridotward/core/hedge_budget.hpp>
 #include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
@@ -33,7 +34,9 @@
     metrics counted;
     random_source random;
     std::string process; ///< Instance and start; unique over restarts.
-    bundle_ptr in_force; ///< Null until a bundle is accepted.
+    const config_store* configuration = nullptr; ///< Null in tests of parts.
+    bundle_ptr in_force;   ///< Null until a bundle is accepted.
+    wall_time accepted_at; ///< When it came into force.
     instance_list listed;
     snapshot_tracker snapshots;
     replica_stats replicas;
@@ -57,7 +60,9 @@
             return "the instance is leaving";
         if (!in_force)
             return "no bundle is in force";
-        return {};
+        return configuration == nullptr
+                   ? std::string{}
+                   : configuration->waiting_for(loop.now());
     }
 };
 
