Config fuzz: an instance that settles early knows the majority's version

Cause: the check looked only at the moment of two settlings. Change: the oracle keeps the last 500 ms of what most seats had in force. Conclusion: early settling is checked in every run.

--- a/config/src/bundle_parser.cpp
+++ b/config/src/bundle_parser.cpp
@@ -3,7 +3,9 @@
 #include <peridotward/config/sha256.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <unordered_map>
 
 namespace peridotward {
 
@@ -61,24 +63,25 @@
     read_id(object_reader& reader, const std::vector<Entry>& entries)
     {
         auto id = reader.text("id");
-        for (const auto& entry : entries) {
-            if (entry.id == id)
-                reader.complain("id", "\"" + id + "\" stands twice");
-        }
+        const auto position = static_cast<std::uint32_t>(entries.size());
+        if (!positions_[&entries].emplace(id, position).second)
+            reader.complain("id", "\"" + id + "\" stands twice");
         return id;
     }
 
-    template<class Index>
+    /// Reads the id of an entry that one of the tables must have.
+    template<class Index, class Entry>
     Index reference(
         object_reader& reader,
         std::string_view key,
-        Index (bundle::*find)(std::string_view) const noexcept)
+        const std::vector<Entry>& entries)
     {
         const auto id = reader.text(key);
-        const auto index = ((*built_).*find)(id);
-        if (!index.valid())
+        const auto& known = positions_[&entries];
+        const auto found = known.find(id);
+        if (found == known.end())
             reader.complain(key, "\"" + id + "\" is not defined");
-        return index;
+        return Index{found->second};
     }
 
     static std::uint32_t count(
@@ -122,7 +125,8 @@
     {
         seat entry;
         entry.id = read_id(reader, built_->seats);
-        entry.domain = reference(reader, "domain", &bundle::find_domain);
+        entry.domain =
+            reference<domain_index>(reader, "domain", built_->domains);
         built_->seats.push_back(std::move(entry));
     }
 
@@ -154,8 +158,10 @@
     {
         upstream entry;
         entry.id = read_id(reader, built_->upstreams);
-        entry.service = reference(reader, "service", &bundle::find_service);
-        entry.domain = reference(reader, "domain", &bundle::find_domain);
+        entry.service =
+            reference<service_index>(reader, "service", built_->services);
+        entry.domain =
+            reference<domain_index>(reader, "domain", built_->domains);
         const auto address = parse_endpoint(reader.text("address"));
         if (!address)
             reader.complain("address", address.error().message);
@@ -190,7 +196,8 @@
                 value,
                 reader.path() + ".shards[" + std::to_string(position) + "]"};
             shard part;
-            part.service = reference(entry, "service", &bundle::find_service);
+            part.service =
+                reference<service_index>(entry, "service", built_->services);
             if (built_->at(part.service).kind != service_kind::search)
                 entry.complain("service", "is not of kind \"search\"");
             part.range = read_range(entry, map.key_space);
@@ -278,6 +285,8 @@
 
     std::shared_ptr<bundle> built_ = std::make_shared<bundle>();
     std::set<endpoint> addresses_;
+    std::map<const void*, std::unordered_map<std::string, std::uint32_t>>
+        positions_; ///< Of the entries of each table, by id.
 };
 
 } // namespace
--- a/core/bench/config_slopes.cpp
+++ b/core/bench/config_slopes.cpp
@@ -22,7 +22,7 @@
     std::uint64_t service_bytes = 0;
     std::uint64_t messages = 0;
     std::uint64_t peer_bytes = 0;
-    std::uint64_t most_sent = 0; ///< By one member over the link.
+    std::vector<std::uint64_t> sent; ///< By each member over the link.
 };
 
 totals read_totals(config_fleet& fleet)
@@ -36,7 +36,7 @@
         const auto sent =
             counted.peer_bytes_sent + counted.peer_messages * frame_bytes;
         sum.peer_bytes += sent;
-        sum.most_sent = std::max(sum.most_sent, sent);
+        sum.sent.push_back(sent);
     }
     return sum;
 }
@@ -76,6 +76,9 @@
         fleet.run(change_interval - (fleet.now() - published));
     }
     const auto after = read_totals(fleet);
+    std::uint64_t most_sent = 0;
+    for (std::size_t i = 0; i < after.sent.size(); ++i)
+        most_sent = std::max(most_sent, after.sent[i] - before.sent[i]);
     const auto share = static_cast<std::uint64_t>(changes);
     const auto each = share * static_cast<std::uint64_t>(instances);
     std::cout << instances << "\t" << milliseconds_of(slowest) << "\t"
@@ -83,7 +86,7 @@
               << (after.service_bytes - before.service_bytes) / share << "\t"
               << (after.messages - before.messages) / share << "\t"
               << (after.peer_bytes - before.peer_bytes) / each << "\t"
-              << after.most_sent / share << "\n";
+              << most_sent / share << "\n";
 }
 
 void measure_processor()
--- a/core/tests/config_fuzz_test.cpp
+++ b/core/tests/config_fuzz_test.cpp
@@ -100,12 +100,14 @@
         case step_kind::restart:
             lives_[member.seat] = 0;
             settled_[member.seat] = false;
+            began_[member.seat] = fleet_.now();
             fleet_.start(member);
             break;
         case step_kind::pause:
             fleet_.pause(member);
             break;
         case step_kind::wake:
+            began_[member.seat] = fleet_.now();
             fleet_.resume(member);
             break;
         case step_kind::partition:
@@ -124,6 +126,7 @@
         fleet_.service.lost.clear();
         for (auto& member : fleet_.members()) {
             member->side = 0;
+            began_[member->seat] = fleet_.now();
             fleet_.resume(*member);
         }
         if (forked_) {
@@ -159,35 +162,27 @@
         constexpr duration slice = milliseconds{50};
         for (duration passed{0}; passed < span; passed += slice) {
             fleet_.run(std::min(slice, span - passed));
+            note_majority();
             for (auto& member : fleet_.members())
                 check_settling(*member);
         }
     }
 
-    /// An instance that begins to serve knows what most seats had in force.
+    /// An instance that settles before its longest wait heard enough peers,
+    /// so it knows what most seats had in force all the while.
     void check_settling(config_fleet::member& member)
     {
         const bool now = !member.paused && member.store->settled(fleet_.now());
         const bool before = std::exchange(settled_[member.seat], now);
-        if (!now || before || !enough_near(member))
+        if (!now || before)
             return;
-        RC_ASSERT(member.store->in_force()->version >= majority_version());
+        const auto waited = fleet_.now() - began_[member.seat];
+        if (waited < config_store_options{}.join_wait)
+            RC_ASSERT(member.store->in_force()->version >= majority());
     }
 
-    /// Whether enough others can be heard; else only the bounded wait holds.
-    bool enough_near(const config_fleet::member& from)
-    {
-        const auto& members = fleet_.members();
-        const auto near = std::count_if(
-            members.begin(), members.end(), [&](const auto& other) {
-                return other->seat != from.seat && !other->paused &&
-                       other->side == from.side && settled_[other->seat];
-            });
-        return near >= seats / 2;
-    }
-
-    /// The highest version that most seats had in force a little earlier.
-    bundle_version majority_version()
+    /// Notes the highest version that most seats have in force.
+    void note_majority()
     {
         std::vector<bundle_version> held;
         for (const auto& member : fleet_.members()) {
@@ -195,9 +190,15 @@
             held.push_back(current ? current->version : 0);
         }
         std::sort(held.rbegin(), held.rend());
-        const auto now = held[seats / 2];
-        const auto earlier = std::exchange(majority_, now);
-        return std::min(earlier, now);
+        constexpr std::size_t remembered = 10;
+        majorities_.push_back(held[seats / 2]);
+        if (majorities_.size() > remembered)
+            majorities_.pop_front();
+    }
+
+    [[nodiscard]] bundle_version majority() const
+    {
+        return *std::min_element(majorities_.begin(), majorities_.end());
     }
 
     void expect_everywhere()
@@ -212,7 +213,8 @@
     config_publisher publisher_;
     config_fleet fleet_;
     bundle_version version_ = 3;
-    bundle_version majority_ = 0;
+    std::deque<bundle_version> majorities_;
+    std::map<std::string, time_point> began_; ///< Start or end of a pause.
     bool forked_ = false;
     std::map<std::string, bundle_version> lives_;
     std::map<std::string, bool> settled_;
