--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -163,7 +163,7 @@
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (request.method == "POST") {
+    if (request.method == "POST" || !request.body.empty()) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(
@@ -171,9 +171,8 @@
             CURLOPT_POSTFIELDSIZE,
             static_cast<long>(request.body.size()));
     }
-    else if (request.method != "GET") {
+    if (request.method != "GET" && request.method != "POST")
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    }
 }
 
 void http_client::impl::finish(CURL* easy, CURLcode code)
--- a/tests/standins/upstream_park.hpp
+++ b/tests/standins/upstream_park.hpp
@@ -28,6 +28,10 @@
 
     void on_control(const standin_request& request, const respond& answer);
 
+    [[nodiscard]] const record_set& records() const noexcept
+    {
+        return records_;
+    }
     [[nodiscard]] json ledger() const;
 
     /// Changes matching upstreams.
--- /dev/null
+++ b/tests/system/caller_test.cpp
@@ -0,0 +1,157 @@
+#include "test_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace peridotward;
+using peridotward::testing::test_fleet;
+namespace net = boost::asio;
+
+namespace {
+
+struct bad_call
+{
+    const char* method;
+    const char* path;
+    std::string body;
+    int status;
+    const char* kind;
+};
+
+std::string kind_of(const client_response& answer)
+{
+    const auto body = json::parse(answer.body, nullptr, false);
+    return body.is_object() && body.contains("error")
+               ? body.at("error").at("kind").get<std::string>()
+               : std::string{};
+}
+
+/// Polls until `done` or the polls are used up.
+template<class Condition>
+bool await(Condition done)
+{
+    for (int i = 0; i < 500; ++i) {
+        if (done())
+            return true;
+        std::this_thread::sleep_for(milliseconds{10});
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("a malformed request is refused by its kind and runs nothing")
+{
+    const std::string nested = std::string(3000, '[') + std::string(3000, ']');
+    const bad_call calls[] = {
+        {"POST", "/v1/search/all", "{\"criteria\":", 400, "bad_request"},
+        {"POST", "/v1/search/all", "[]", 400, "bad_request"},
+        {"POST", "/v1/search/all", nested, 400, "bad_request"},
+        {"POST", "/v1/search/all", R"({"criteria":[]})", 400, "bad_request"},
+        {"POST",
+         "/v1/search/all",
+         R"({"criteria":{},"criteria":{}})",
+         400,
+         "bad_request"},
+        {"POST",
+         "/v1/search/all",
+         R"({"minimum_coverage":2})",
+         400,
+         "bad_request"},
+        {"POST",
+         "/v1/search/all",
+         R"({"request_id":"a b"})",
+         400,
+         "bad_request"},
+        {"POST",
+         "/v1/search/all",
+         R"({"deadline_ms":0})",
+         400,
+         "deadline_invalid"},
+        {"POST",
+         "/v1/search/all",
+         R"({"deadline_ms":-1})",
+         400,
+         "deadline_invalid"},
+        {"POST",
+         "/v1/search/all",
+         R"({"deadline_ms":1e30})",
+         400,
+         "deadline_invalid"},
+        {"POST",
+         "/v1/search/all",
+         R"({"deadline_ms":86400000})",
+         400,
+         "deadline_invalid"},
+        {"POST", "/v1/search/none", "{}", 404, "unknown_search"},
+        {"POST", "/v1/nothing", "{}", 404, "unknown_path"},
+        {"GET", "/v1/records/none/1", "", 404, "unknown_service"},
+        {"POST", "/v1/records/billing", R"({"entry":1})", 400, "bad_request"},
+    };
+    test_fleet fleet;
+    const auto before = fleet.counted("requests");
+    for (const auto& call : calls) {
+        const auto answer = fleet.call(call.method, call.path, call.body);
+        CAPTURE(call.path, call.body.substr(0, 60), answer.body);
+        CHECK(answer.outcome == transport_outcome::answered);
+        CHECK(answer.status == call.status);
+        CHECK(kind_of(answer) == call.kind);
+    }
+    const auto large = fleet.call(
+        "POST", "/v1/search/all", "\"" + std::string(9000, 'x') + "\"");
+    CHECK(large.status == 413);
+    CHECK(fleet.counted("requests") == before);
+    CHECK(fleet.search(fleet.subject(3)).status == 200);
+}
+
+TEST_CASE("an entry whose id comes twice runs once")
+{
+    test_fleet fleet;
+    const auto id = std::to_string(fleet.wall_ms()) + "-77";
+    const json body{{"request_id", id}, {"entry", {{"amount", 1}}}};
+    std::vector<client_response> answers;
+    for (int i = 0; i < 4; ++i)
+        answers.push_back(
+            fleet.call("POST", "/v1/records/billing", body.dump()));
+    const auto services = fleet.ledger().at("services");
+    CAPTURE(answers[0].body, answers[1].body);
+    CHECK(services.at("billing").at("doubled_runs") == 0);
+    CHECK(services.at("billing").at("entries") <= 1);
+}
+
+TEST_CASE("an entry whose connection breaks is never reported as not run")
+{
+    test_fleet fleet;
+    const auto broken = GENERATE(as<std::string>{}, "reset", "half_close");
+    fleet.set("billing", {{broken, true}});
+    const auto id = std::to_string(fleet.wall_ms()) + "-78";
+    const json body{{"request_id", id}, {"entry", {{"amount", 1}}}};
+    const auto answer = fleet.call("POST", "/v1/records/billing", body.dump());
+    CAPTURE(answer.body);
+    const auto runs = fleet.ledger().at("services").at("billing");
+    const auto refused = json::parse(answer.body).at("error");
+    CHECK(runs.at("doubled_runs") == 0);
+    CHECK((runs.at("entries") == 0 || refused.at("not_run") == false));
+}
+
+TEST_CASE("a caller that leaves takes its work from the upstreams")
+{
+    test_fleet fleet;
+    const auto cancelled_before = fleet.counted("cancelled");
+    fleet.set("*", {{"service_ms", 3000}});
+    {
+        net::io_context context;
+        net::ip::tcp::socket socket{context};
+        socket.connect(
+            {net::ip::make_address(fleet.callers().host),
+             fleet.callers().port});
+        const std::string body =
+            R"({"criteria":{"subject":"none"},"deadline_ms":9000})";
+        const auto request = "POST /v1/search/all HTTP/1.1\r\nHost: a\r\n"
+                             "Connection: keep-alive\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body;
+        net::write(socket, net::buffer(request));
+        REQUIRE(await([&] { return fleet.counted("in_flight") >= 2; }));
+    }
+    CHECK(await([&] { return fleet.counted("in_flight") == 0; }));
+    CHECK(fleet.counted("cancelled") >= cancelled_before + 2);
+}
--- /dev/null
+++ b/tests/system/test_fleet.cpp
@@ -0,0 +1,237 @@
+#include "test_fleet.hpp"
+
+#include <stdexcept>
+
+namespace peridotward::testing {
+
+namespace {
+
+constexpr std::string_view bundle_text = R"({
+  "version": 1, "deployment": "pwani",
+  "domains": [{"id": "d1", "region": "r", "state": "in"},
+              {"id": "d2", "region": "r", "state": "in"}],
+  "seats": [{"id": "t-1", "domain": "d1"}],
+  "caller_classes": [{"id": "office", "priority": "normal"}],
+  "services": [
+    {"id": "left", "kind": "search", "slots": 4, "connections": 20,
+     "cold_slots": 1, "connect_cost_ms": 1, "cold_ramp_ms": 100},
+    {"id": "right", "kind": "search", "slots": 4, "connections": 20,
+     "cold_slots": 1, "connect_cost_ms": 1, "cold_ramp_ms": 100},
+    {"id": "desk", "kind": "records", "slots": 2, "connections": 20,
+     "cold_slots": 1, "connect_cost_ms": 1, "cold_ramp_ms": 100},
+    {"id": "billing", "kind": "entries", "slots": 2, "connections": 20,
+     "cold_slots": 1, "connect_cost_ms": 1, "cold_ramp_ms": 100}],
+  "upstreams": [
+    {"id": "left-1", "service": "left", "domain": "d1",
+     "address": "127.35.4.1:9000"},
+    {"id": "left-2", "service": "left", "domain": "d2",
+     "address": "127.35.4.2:9000"},
+    {"id": "right-1", "service": "right", "domain": "d1",
+     "address": "127.35.4.3:9000"},
+    {"id": "right-2", "service": "right", "domain": "d2",
+     "address": "127.35.4.4:9000"},
+    {"id": "desk-1", "service": "desk", "domain": "d1",
+     "address": "127.35.4.5:9000"},
+    {"id": "desk-2", "service": "desk", "domain": "d2",
+     "address": "127.35.4.6:9000"},
+    {"id": "billing-1", "service": "billing", "domain": "d1",
+     "address": "127.35.4.7:9000"},
+    {"id": "billing-2", "service": "billing", "domain": "d2",
+     "address": "127.35.4.8:9000"}],
+  "shard_maps": [{"id": "all", "from_snapshot": 0, "key_space": 4294967296,
+    "shards": [{"service": "left", "range": [0, 2147483648]},
+               {"service": "right", "range": [2147483648, 4294967296]}]}],
+  "searches": [{"id": "all", "map": "all",
+    "policy": {"prefer": "coverage", "coverage_target": 1.0,
+               "default_deadline_ms": 1000, "max_deadline_ms": 10000,
+               "max_queued": 64}}]
+})";
+
+constexpr std::string_view instances_text = R"({"version": 1, "instances": [
+  {"id": "t-1", "domain": "d1", "callers": "127.35.3.1:8080",
+   "peers": "127.35.3.1:8082", "state": "live"}]})";
+
+constexpr std::string_view settings_text = R"({
+  "instance": {"id": "t-1", "domain": "d1", "region": "r"},
+  "callers": {"address": "127.35.3.1:8080", "threads": 2,
+              "max_request_bytes": 8192},
+  "operators": {"address": "127.35.3.1:8081"},
+  "peers": {"address": "127.35.3.1:8082"},
+  "platform": {"configuration": "127.35.3.100:7000",
+               "instance_list": "127.35.3.100:7000",
+               "poll_interval_ms": 100},
+  "log": {"level": "error"},
+  "limits": {"entries_max_age_ms": 2000, "stop_limit_ms": 5000}
+})";
+
+constexpr int ready_polls = 300;
+constexpr milliseconds ready_interval{20};
+
+template<class Value>
+Value must(result<Value> wanted)
+{
+    if (!wanted)
+        throw std::runtime_error{wanted.error().message};
+    return std::move(*wanted);
+}
+
+client_response exchange(http_client& client, client_request request)
+{
+    std::optional<client_response> ended;
+    client.submit(std::move(request), [&](client_response response) {
+        ended = std::move(response);
+    });
+    while (!ended)
+        client.poll(milliseconds{20});
+    return std::move(*ended);
+}
+
+} // namespace
+
+test_fleet::test_fleet()
+    : platform_{standins_.context()},
+      park_{standins_.context(), must(parse_bundle(bundle_text))}
+{
+    park_.start();
+    auto hooks = std::make_shared<listener_hooks>();
+    hooks->on_request = [this](const standin_request& request, respond answer) {
+        platform_.on_request(request, std::move(answer));
+    };
+    listen(
+        standins_.context(),
+        platform_address_.host,
+        platform_address_.port,
+        hooks);
+    standins_.start();
+    publish();
+    node_.emplace(must(parse_settings(settings_text)));
+    if (const auto started = node_->start(); !started)
+        throw std::runtime_error{started.error().message};
+    serving_ = std::thread{[this] { node_->run(); }};
+    try {
+        await_ready();
+    }
+    catch (...) {
+        stop();
+        throw;
+    }
+}
+
+test_fleet::~test_fleet()
+{
+    stop();
+}
+
+void test_fleet::stop()
+{
+    if (!serving_.joinable())
+        return;
+    node_->request_stop();
+    serving_.join();
+}
+
+void test_fleet::publish()
+{
+    client_request request;
+    request.to = platform_address_;
+    request.method = "PUT";
+    request.path = "/v1/values/bundle";
+    request.body = bundle_text;
+    (void)exchange(client_, request);
+    request.path = "/v1/instances";
+    request.body = instances_text;
+    (void)exchange(client_, request);
+}
+
+void test_fleet::await_ready()
+{
+    client_request request;
+    request.to = operators_;
+    request.path = "/v1/health/ready";
+    client_response last;
+    for (int i = 0; i < ready_polls; ++i) {
+        last = exchange(client_, request);
+        if (last.status == 200)
+            last = search(subject(0));
+        if (last.status == 200 && last.body.find("records") != last.body.npos)
+            return;
+        std::this_thread::sleep_for(ready_interval);
+    }
+    throw std::runtime_error{
+        "the instance did not become ready: " + last.body};
+}
+
+client_response
+test_fleet::call(std::string method, std::string path, std::string body)
+{
+    client_request request;
+    request.to = callers_;
+    request.method = std::move(method);
+    request.path = std::move(path);
+    request.body = std::move(body);
+    request.headers = {{"Content-Type", "application/json"}};
+    request.timeout = seconds{10};
+    return exchange(client_, std::move(request));
+}
+
+client_response test_fleet::search(const std::string& subject, int deadline_ms)
+{
+    const json body{
+        {"criteria", {{"subject", subject}}}, {"deadline_ms", deadline_ms}};
+    return call("POST", "/v1/search/all", body.dump());
+}
+
+void test_fleet::set(const std::string& match, const json& behaviour)
+{
+    standins_.ask([&] { park_.change(match, behaviour); });
+}
+
+json test_fleet::ledger()
+{
+    return standins_.ask([this] { return park_.ledger(); });
+}
+
+std::uint64_t test_fleet::counted(const char* counter)
+{
+    std::uint64_t sum = 0;
+    for (const auto& entry : ledger().at("upstreams"))
+        sum += entry.at(counter).get<std::uint64_t>();
+    return sum;
+}
+
+bool test_fleet::right(
+    const std::string& subject, const client_response& answer)
+{
+    const auto body = json::parse(answer.body);
+    const auto& missing = body.at("coverage").at("missing");
+    const auto snapshot = body.at("snapshot").get<snapshot_id>();
+    std::vector<record_key> wanted;
+    for (const auto* record : park_.records().find(
+             {0, ~record_key{0}}, snapshot, {{"subject", subject}})) {
+        bool lost = false;
+        for (const auto& gap : missing)
+            lost = lost || (record->key >= gap.at("range").at(0) &&
+                            record->key < gap.at("range").at(1));
+        if (!lost)
+            wanted.push_back(record->key);
+    }
+    std::vector<record_key> found;
+    for (const auto& record : body.at("records"))
+        found.push_back(record.at("key").get<record_key>());
+    const bool says_complete = body.at("answer") == "complete";
+    return found == wanted && says_complete == missing.empty() &&
+           (answer.status == 200) == says_complete;
+}
+
+std::string test_fleet::subject(std::size_t number) const
+{
+    const auto& subjects = park_.records().subjects();
+    return subjects[number % subjects.size()];
+}
+
+std::int64_t test_fleet::wall_ms() const
+{
+    return clock_.wall().time_since_epoch().count();
+}
+
+} // namespace peridotward::testing
