--- a/http/src/reactor_handler.cpp
+++ b/http/src/reactor_handler.cpp
@@ -1,4 +1,5 @@
 #include "reactor_handler.hpp"
+#include "text_header.hpp"
 
 #include <pistache/peer.h>
 #include <pistache/transport.h>
@@ -37,7 +38,7 @@
     Pistache::Http::ResponseWriter& writer, const http_response& response)
 {
     for (const auto& [name, value] : response.headers)
-        writer.headers().addRaw(Pistache::Http::Header::Raw{name, value});
+        writer.headers().add(std::make_shared<text_header>(name, value));
     if (response.close)
         writer.headers().add<Pistache::Http::Header::Connection>(
             Pistache::Http::ConnectionControl::Close);
--- a/http/tests/http_server_test.cpp
+++ b/http/tests/http_server_test.cpp
@@ -68,6 +68,7 @@
             for (auto& [id, path] : taken) {
                 http_response response;
                 response.body = path;
+                response.headers = {{"Coverage", "0.5"}};
                 server_.reply(id, std::move(response));
             }
             std::this_thread::sleep_for(microseconds{500});
@@ -209,6 +210,7 @@
     const auto answer =
         raw_exchange(server.address, "GET /after HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(answer.find("/after") != std::string::npos);
+    CHECK(answer.find("Coverage: 0.5\r\n") != std::string::npos);
     CHECK(server.open() == 0);
 }
 
