--- /dev/null
+++ b/core/tests/allocation_counter.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace peridotward::query_test {
+
+/// \returns The calls of `operator new` in this process so far.
+[[nodiscard]] std::uint64_t allocations() noexcept;
+
+} // namespace peridotward::query_test
--- a/core/tests/query_fuzz_world.cpp
+++ b/core/tests/query_fuzz_world.cpp
@@ -223,6 +223,17 @@
         "a faulty answer was merged");
     if (merged)
         merge(tracked, ended.sent);
+    for (const auto& other : flying_) {
+        const bool loser = merged && other.query == ended.query &&
+                           other.epoch == ended.epoch &&
+                           other.sent.part == ended.sent.part;
+        const auto& cancelled = actions.cancel;
+        expect(
+            !loser ||
+                std::find(cancelled.begin(), cancelled.end(), other.sent.id) !=
+                    cancelled.end(),
+            "a loser was not cancelled");
+    }
     carry_out(ended.query, actions);
 }
 
@@ -295,7 +306,7 @@
         extra += count > 1 ? count - 1 : 0;
     }
     expect(
-        static_cast<double>(extra) <= hedge_budget::share * first + 1e-6,
+        static_cast<double>(extra) <= hedge_limits{}.share * first + 1e-6,
         "extra requests exceed their budget");
 }
 
