Tests of the link and of the system no longer share addresses

wire_tests failed while another checkout ran tests/system/failures.sh: both listened on 127.33.0.1:8082. The link's tests move to 127.33.200.*, and the system cases take a lock, so that checkouts on one machine run one at a time.

--- a/tests/system/failures.sh
+++ b/tests/system/failures.sh
@@ -15,6 +15,10 @@
 }
 build=$1 failure=$2
 
+# Runs of other checkouts use the same addresses.
+exec 9>"${TMPDIR:-/tmp}/peridotward-system.lock"
+flock 9
+
 source tools/fleet.sh
 fleet_use pwani
 trap fleet_clean EXIT
--- a/wire/tests/link_fixture.hpp
+++ b/wire/tests/link_fixture.hpp
@@ -84,7 +84,7 @@
 
 inline endpoint link_endpoint(int seat)
 {
-    return {"127.33.0." + std::to_string(seat), 8082};
+    return {"127.33.200." + std::to_string(seat), 8082};
 }
 
 inline std::unique_ptr<recorded_link>
