--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query.hpp
@@ -196,6 +196,7 @@
     backoff(const part_state& part, random_source& random) const;
     void forget_tried(part_state& part) noexcept;
     void cancel_live(std::uint32_t part, query_actions& out);
+    static void drop_unsent(query_actions& out);
     void finish_if_settled(query_actions& out);
     void finish_at_deadline(query_actions& out);
     void finish(query_actions& out);
--- a/core/include/peridotward/core/query_impl.hpp
+++ b/core/include/peridotward/core/query_impl.hpp
@@ -89,6 +89,7 @@
         return false;
     for (std::uint32_t part = 0; part < parts_.size(); ++part)
         cancel_live(part, out);
+    drop_unsent(out);
     start_.snapshot = snapshot;
     ++replans_;
     plan_parts();
--- a/core/src/query.cpp
+++ b/core/src/query.cpp
@@ -223,6 +223,18 @@
     state.in_flight = 0;
 }
 
+/// Removes attempts that were decided but not yet handed over.
+void query::drop_unsent(query_actions& out)
+{
+    std::erase_if(out.cancel, [&](attempt_id id) {
+        return std::any_of(
+            out.send.begin(), out.send.end(), [&](const attempt& each) {
+                return each.id == id;
+            });
+    });
+    out.send.clear();
+}
+
 void query::finish_if_settled(query_actions& out)
 {
     if (finished_)
--- a/core/tests/query_fuzz_world.hpp
+++ b/core/tests/query_fuzz_world.hpp
@@ -41,6 +41,8 @@
     void finish();
 
     std::vector<std::string> violations;
+    std::uint64_t replans = 0;
+    std::uint64_t extras = 0;
 
 private:
     /// What the model knows of one query.
