Entries at most once through their owners; entries list by membership

Cause: an entry went to a random upstream, so a repeated id could meet two owners; the list of entries followed the lagging published list alone. Change: entry_keeper maps an id to one upstream, keeps the ids of the owner's tenure and refuses what it cannot know; caller_api names instances that say of themselves that they are ready. Conclusion: the window of entry_test.cpp now guards the running programs.

--- a/instance/src/caller_api.cpp
+++ b/instance/src/caller_api.cpp
@@ -15,10 +15,13 @@
 
 caller_api::caller_api(
     node_state& state,
+    const membership& members,
     record_port& records,
+    entry_keeper& entries,
     attempt_port& port,
     answer_handler answer)
     : state_{&state},
+      members_{&members},
       answer_{std::move(answer)},
       filters_{
           readiness_filter{&state},
@@ -33,9 +36,13 @@
           [this](exchange_id id, http_response response) {
               finish(id, std::move(response));
           }},
-      records_{state, records, [this](exchange_id id, http_response response) {
-                   finish(id, std::move(response));
-               }}
+      records_{
+          state,
+          records,
+          entries,
+          [this](exchange_id id, http_response response) {
+              finish(id, std::move(response));
+          }}
 {}
 
 void caller_api::on_request(exchange_id exchange, http_request request)
@@ -122,23 +129,44 @@
         error_kind::unknown_path, "use GET with a key or POST without one");
 }
 
+/// What other instances say of themselves goes before the published list,
+/// which lags; the list alone counts while no other instance is known.
+std::vector<entry_candidate> caller_api::candidates() const
+{
+    std::vector<entry_candidate> found;
+    const auto& self = members_->self();
+    found.push_back(
+        {self.id,
+         self.domain,
+         self.callers,
+         state_->not_ready_reason().empty()});
+    for (const auto& [seat, known] : members_->members())
+        found.push_back(
+            {seat,
+             known.belief.domain,
+             known.belief.callers,
+             members_->serves(seat)});
+    if (found.size() > 1)
+        return found;
+    for (const auto& entry : state_->listed.instances) {
+        if (entry.id != self.id)
+            found.push_back(
+                {entry.id,
+                 entry.domain,
+                 entry.callers,
+                 entry.state == listed_state::live});
+    }
+    return found;
+}
+
 http_response caller_api::entries(const http_request& request) const
 {
-    std::vector<entry_candidate> candidates;
-    const auto& self = state_->configured.instance.id;
-    for (const auto& entry : state_->listed.instances)
-        candidates.push_back(
-            {entry.id,
-             entry.domain,
-             entry.callers,
-             entry.state == listed_state::live &&
-                 (entry.id != self || !state_->leaving)});
     // Callers behind one address may name themselves to spread.
     auto caller = find_header(request.query, "caller");
     if (caller.empty())
         caller = request.peer_host;
     const auto selected = select_entries(
-        std::move(candidates), caller, find_header(request.query, "domain"));
+        candidates(), caller, find_header(request.query, "domain"));
     json addresses = json::array();
     for (const auto& entry : selected)
         addresses.push_back(
--- a/instance/src/caller_api.hpp
+++ b/instance/src/caller_api.hpp
@@ -4,8 +4,12 @@
 #include "record_runner.hpp"
 #include "search_runner.hpp"
 
+#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/membership.hpp>
+
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace peridotward {
 
@@ -17,7 +21,9 @@
 
     caller_api(
         node_state& state,
+        const membership& members,
         record_port& records,
+        entry_keeper& entries,
         attempt_port& port,
         answer_handler answer);
 
@@ -45,12 +51,14 @@
     [[nodiscard]] result<void>
     route_record(request_context& context, std::string_view rest);
     [[nodiscard]] http_response entries(const http_request& request) const;
+    [[nodiscard]] std::vector<entry_candidate> candidates() const;
 
     /// Ends a request: forgets its id and sends its answer.
     void finish(exchange_id exchange, http_response response);
     void forget(exchange_id exchange);
 
     node_state* state_;
+    const membership* members_;
     answer_handler answer_;
     std::unordered_map<std::uint64_t, std::string> open_; ///< Ids by exchange.
     chain filters_;
--- /dev/null
+++ b/instance/src/entry_keeper.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "entry_gate.hpp"
+#include "node_state.hpp"
+
+#include <peridotward/core/entry_router.hpp>
+#include <peridotward/core/entry_window.hpp>
+
+#include <string>
+#include <unordered_map>
+
+namespace peridotward {
+
+/// Keeps the ids of non-idempotent entries for the upstreams that this
+/// instance owns, so that none runs twice.
+class entry_keeper final : public entry_gate
+{
+public:
+    explicit entry_keeper(node_state& state);
+
+    /// Takes the bundle in force into the routes; cheap when it is the same.
+    void follow_bundle();
+
+    [[nodiscard]] entry_verdict admit(
+        upstream_index upstream,
+        std::string_view request_id,
+        time_point held_since) override;
+    void
+    withdraw(upstream_index upstream, std::string_view request_id) override;
+
+    /// \returns The upstream that `request_id` maps to, or an invalid index.
+    [[nodiscard]] upstream_index
+    route(std::string_view service, std::string_view request_id);
+
+    /// \returns The number of ids that are remembered.
+    [[nodiscard]] std::size_t remembered() const noexcept;
+
+private:
+    struct tenure
+    {
+        time_point held_since;
+        entry_window ids;
+    };
+
+    [[nodiscard]] tenure&
+    tenure_of(const std::string& upstream, time_point held_since);
+
+    node_state* state_;
+    entry_window_limits limits_;
+    entry_router router_;
+    bundle_ptr followed_;
+    std::unordered_map<std::string, tenure> tenures_; ///< By upstream id.
+};
+
+} // namespace peridotward
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -1,5 +1,6 @@
 #include "caller_api.hpp"
 #include "config_link.hpp"
+#include "entry_keeper.hpp"
 #include "log.hpp"
 #include "operator_api.hpp"
 #include "owner_desk.hpp"
@@ -52,10 +53,13 @@
           desk{fleet, executor},
           port{fleet, executor},
           records{fleet, executor},
+          entries{state},
           watch{fleet, gateway},
           callers{
               state,
+              fleet.members(),
               records,
+              entries,
               port,
               [this](exchange_id id, http_response response) {
                   caller_server.reply(id, std::move(response));
@@ -82,7 +86,10 @@
                   });
               },
               [](exchange_id) {}}
-    {}
+    {
+        executor.use_gate(entries);
+        fleet.on_bundle([this](time_point) { entries.follow_bundle(); });
+    }
 
     void leave();
     void stop_when_idle();
@@ -95,6 +102,7 @@
     owner_desk desk;
     owner_port port;
     record_port records;
+    entry_keeper entries;
     upstream_watch watch;
     caller_api callers;
     operator_api operators;
--- a/instance/src/record_runner.cpp
+++ b/instance/src/record_runner.cpp
@@ -1,5 +1,6 @@
 #include "record_runner.hpp"
 
+#include <peridotward/core/entry_id.hpp>
 #include <peridotward/core/random_replica.hpp>
 
 namespace peridotward {
@@ -60,11 +61,20 @@
     const auto entry = context.body.find("entry");
     if (entry == context.body.end() || !entry->is_object())
         return fail(error_kind::bad_request, "entry: expected an object");
-    const auto chosen = pick(in_force, service);
-    if (!chosen)
-        return tl::unexpected{chosen.error()};
+    if (!issue_time(context.request_id))
+        return fail(
+            error_kind::bad_request,
+            "request_id: an entry needs MILLISECONDS-TEXT, found \"" +
+                context.request_id + "\"");
+    const auto chosen =
+        entries_->route(in_force.at(service).id, context.request_id);
+    if (!chosen.valid() || context.in_force != state_->in_force)
+        return fail(
+            error_kind::no_capacity,
+            "service \"" + in_force.at(service).id +
+                "\" has no upstream that takes new work");
     state_->counted.count("appends");
-    auto job = job_for(context, *chosen, record_action::append);
+    auto job = job_for(context, chosen, record_action::append);
     job.request_id = context.request_id;
     job.text = json{{"request", context.request_id}, {"entry", *entry}}.dump();
     port_->submit(std::move(job), [this, context](const owned_result& result) {
--- a/instance/src/record_runner.hpp
+++ b/instance/src/record_runner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry_keeper.hpp"
 #include "record_port.hpp"
 #include "request_context.hpp"
 
@@ -13,8 +14,15 @@
 public:
     using answer_handler = std::function<void(exchange_id, http_response)>;
 
-    record_runner(node_state& state, record_port& port, answer_handler answer)
-        : state_{&state}, port_{&port}, answer_{std::move(answer)}
+    record_runner(
+        node_state& state,
+        record_port& port,
+        entry_keeper& entries,
+        answer_handler answer)
+        : state_{&state},
+          port_{&port},
+          entries_{&entries},
+          answer_{std::move(answer)}
     {}
 
     [[nodiscard]] result<void> fetch(
@@ -37,6 +45,7 @@
 
     node_state* state_;
     record_port* port_;
+    entry_keeper* entries_;
     answer_handler answer_;
     std::uint64_t last_request_ = 0;
 };
--- a/instance/src/upstream_executor.cpp
+++ b/instance/src/upstream_executor.cpp
@@ -80,9 +80,16 @@
 
 bool upstream_executor::pass_gate(work_id id)
 {
+    // The gate and the leases must mean the same bundle by an index.
+    fleet_->follow_state();
     auto& started = running_.at(number_of(id));
     const auto& leases = fleet_->leases();
     const auto upstream = leases.voters().find(started.granted.upstream);
+    if (!upstream.valid()) {
+        end_grant(started.granted, {});
+        finish(id, not_run(true));
+        return false;
+    }
     const auto verdict = gate_->admit(
         upstream, started.request.name, leases.held_since(upstream));
     started.admitted = verdict == entry_verdict::run;
