--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -69,6 +69,13 @@
     return line.size();
 }
 
+/// Runs when the connection is there and no byte of the request has left.
+int before_request(void* user, char*, char*, int, int)
+{
+    const auto& self = *static_cast<exchange*>(user);
+    return self.request.may_send() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 /// \returns Whether the end of the answer is known from its own fields.
 /// libcurl takes a close within the fields, or after a body without a length,
 /// as the end of a whole answer.
@@ -159,11 +166,15 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
+    if (request.may_send) {
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
+    }
     if (request.fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (request.method == "POST") {
+    if (request.method == "POST" || !request.body.empty()) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(
@@ -171,9 +182,8 @@
             CURLOPT_POSTFIELDSIZE,
             static_cast<long>(request.body.size()));
     }
-    else if (request.method != "GET") {
+    if (request.method != "GET" && request.method != "POST")
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    }
 }
 
 void http_client::impl::finish(CURL* easy, CURLcode code)
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,6 +1,7 @@
 # Starts and stops stand-ins and instances on loopback; to be sourced.
 #
-# Sets: bin (build folder), work (scratch folder), deployment, prefix, net,
+# Sets: bin (build folder), work (scratch folder), files (settings and bundle),
+# deployment, prefix, net,
 # platform and control (addresses of the stand-ins), caller_delay (ms).
 
 fleet_use() { # DEPLOYMENT
@@ -14,7 +15,8 @@
         ;;
     esac
     bin=build/release
-    bundle=examples/$deployment/bundle.jsonc
+    files=examples/$deployment
+    bundle=$files/bundle.jsonc
     platform=$net.0.100:7000
     control=$net.0.101:7001
     work=$(mktemp -d)
@@ -45,7 +47,7 @@
 fleet_settings() { # NUMBER: prints a copy that requires the demo's approver
     local copy=$work/$prefix-$1.jsonc
     sed -e "s|^  \"log\":|  \"sign_off\": {\"key_files\": [\"$work/approver.pub\"], \"required\": 1},\n&|" \
-        "examples/$deployment/$prefix-$1.jsonc" >"$copy"
+        "$files/$prefix-$1.jsonc" >"$copy"
     echo "$copy"
 }
 
@@ -106,7 +108,7 @@
     "$bin/ctl/peridotctl" bundle keygen "$work/approver.key" \
         "$work/approver.pub" >/dev/null
     fleet_publish_bundle "$bundle"
-    fleet_publish /v1/instances "examples/$deployment/instances.json"
+    fleet_publish /v1/instances "$files/instances.json"
     for i in "${instance_numbers[@]}"; do fleet_start_instance "$i"; done
     for i in "${instance_numbers[@]}"; do fleet_wait_instance "$i"; done
 }
