--- a/config/include/peridotward/config/bundle_diff.hpp
+++ b/config/include/peridotward/config/bundle_diff.hpp
@@ -21,9 +21,4 @@
 [[nodiscard]] bundle_diff
 diff_bundles(const bundle& before, const bundle& after);
 
-/// \returns The requests that a search can have in flight over all its
-/// shards' upstreams that take work, at the newest map.
-[[nodiscard]] std::uint64_t
-slots_of_search(const bundle& in, const search& wanted);
-
 } // namespace peridotward
--- a/config/include/peridotward/config/config.hpp
+++ b/config/include/peridotward/config/config.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <peridotward/config/bundle.hpp>
+#include <peridotward/config/bundle_capacity.hpp>
 #include <peridotward/config/bundle_diff.hpp>
 #include <peridotward/config/bundle_parts.hpp>
 #include <peridotward/config/bundle_types.hpp>
--- /dev/null
+++ b/config/src/bundle_capacity.cpp
@@ -0,0 +1,35 @@
+#include <peridotward/config/bundle_capacity.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace peridotward {
+
+std::uint64_t live_replicas(const bundle& in, service_index index)
+{
+    const auto& replicas = in.at(index).upstreams;
+    return static_cast<std::uint64_t>(std::count_if(
+        replicas.begin(), replicas.end(), [&](upstream_index replica) {
+            return in.admits(replica);
+        }));
+}
+
+std::uint64_t slots_of_search(const bundle& in, const search& wanted)
+{
+    const auto* map =
+        in.map_at(wanted.map, std::numeric_limits<snapshot_id>::max());
+    if (map == nullptr)
+        return 0;
+    std::set<service_index> services;
+    for (const auto& shard : map->shards) {
+        if (!intersect(shard.range, wanted.range).empty())
+            services.insert(shard.service);
+    }
+    std::uint64_t slots = 0;
+    for (const auto index : services)
+        slots += live_replicas(in, index) * in.at(index).slots;
+    return slots;
+}
+
+} // namespace peridotward
--- a/config/src/bundle_diff.cpp
+++ b/config/src/bundle_diff.cpp
@@ -1,10 +1,9 @@
 #include <peridotward/base/range_set.hpp>
+#include <peridotward/config/bundle_capacity.hpp>
 #include <peridotward/config/bundle_diff.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <limits>
-#include <set>
 
 namespace peridotward {
 
@@ -23,15 +22,6 @@
            std::to_string(range.last) + ")";
 }
 
-std::uint64_t live_replicas(const bundle& in, service_index index)
-{
-    const auto& replicas = in.at(index).upstreams;
-    return static_cast<std::uint64_t>(std::count_if(
-        replicas.begin(), replicas.end(), [&](upstream_index replica) {
-            return in.admits(replica);
-        }));
-}
-
 /// Compares two bundles section by section.
 class comparer
 {
@@ -394,22 +384,6 @@
 
 } // namespace
 
-std::uint64_t slots_of_search(const bundle& in, const search& wanted)
-{
-    const auto* map = in.map_at(wanted.map, newest);
-    if (map == nullptr)
-        return 0;
-    std::set<service_index> services;
-    for (const auto& shard : map->shards) {
-        if (!intersect(shard.range, wanted.range).empty())
-            services.insert(shard.service);
-    }
-    std::uint64_t slots = 0;
-    for (const auto index : services)
-        slots += live_replicas(in, index) * in.at(index).slots;
-    return slots;
-}
-
 bundle_diff diff_bundles(const bundle& before, const bundle& after)
 {
     return comparer{before, after}.compare();
