--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -157,8 +157,7 @@
             return;
         std::this_thread::sleep_for(ready_interval);
     }
-    throw std::runtime_error{
-        "the instance did not become ready: " + last.body};
+    throw std::runtime_error{"the instance did not become ready: " + last.body};
 }
 
 client_response
