--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -43,7 +43,9 @@
     hedge_budget extras;                         ///< For hedges and retries.
     std::unordered_set<std::string> running_ids; ///< Callers' request ids.
     recent_queries recent;
+    std::string waiting_for; ///< What the fleet owes before serving.
     bool leaving = false;
+    bool superseded = false; ///< A later start fills the same seat.
 
     /// Puts `next` in force; what is known of upstreams is kept.
     void put_in_force(bundle_ptr next)
@@ -58,8 +60,12 @@
     {
         if (leaving)
             return "the instance is leaving";
+        if (superseded)
+            return "a later start fills this seat";
         if (!in_force)
             return "no bundle is in force";
+        if (!waiting_for.empty())
+            return waiting_for;
         return configuration == nullptr
                    ? std::string{}
                    : configuration->waiting_for(loop.now());
