--- a/instance/src/record_port.cpp
+++ b/instance/src/record_port.cpp
@@ -57,7 +57,7 @@
 }
 
 void record_port::send_to(
-    std::string owner,
+    const std::string& owner,
     record_job&& job,
     resource_id upstream,
     completion&& done)
--- a/instance/src/record_port.hpp
+++ b/instance/src/record_port.hpp
@@ -42,7 +42,7 @@
 
     void run_here(record_job&& job, resource_id upstream, completion&& done);
     void send_to(
-        std::string owner,
+        const std::string& owner,
         record_job&& job,
         resource_id upstream,
         completion&& done);
