--- a/core/tests/fleet_fuzz_test.cpp
+++ b/core/tests/fleet_fuzz_test.cpp
@@ -172,6 +172,7 @@
     rc::detail::TestParams params;
     params.seed = seed;
     params.maxSuccess = 40;
+    params.disableShrinking = true;
     const auto found = rc::detail::checkTestable(
         [&] {
             const auto count = *rc::gen::inRange<std::size_t>(1, 16);
