--- a/core/tests/fleet_world.cpp
+++ b/core/tests/fleet_world.cpp
@@ -252,8 +252,11 @@
     published_ = newer;
     versions_.push_back(newer);
     for (auto& [seat, there] : slots_) {
-        const duration wait{
+        duration wait{
             random_.below(static_cast<std::uint64_t>(lag.count()) + 1)};
+        // Some instances cannot read the configuration for a while.
+        if (lag > seconds{1} && random_.below(5) == 0)
+            wait += seconds{10};
         read_bundle(seat, there.life, now_ + wait, newer);
     }
 }
