--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -1,5 +1,7 @@
 #include "test_fleet.hpp"
 
+#include <peridotward/config/bundle_parts.hpp>
+
 #include <stdexcept>
 
 namespace peridotward::testing {
@@ -132,11 +134,18 @@
 
 void test_fleet::publish()
 {
+    const std::string name = "bundle";
+    const auto files = must(split_bundle(must(parse_json(bundle_text))));
     client_request request;
     request.to = platform_address_;
     request.method = "PUT";
-    request.path = "/v1/values/bundle";
-    request.body = bundle_text;
+    for (const auto& [digest, bytes] : files.parts) {
+        request.path = "/v1/values/" + part_value_name(name, digest);
+        request.body = bytes;
+        (void)exchange(client_, request);
+    }
+    request.path = "/v1/values/" + name;
+    request.body = manifest_text(files.root);
     (void)exchange(client_, request);
     request.path = "/v1/instances";
     request.body = instances_text;
