--- a/tests/system/caller_test.cpp
+++ b/tests/system/caller_test.cpp
@@ -39,7 +39,9 @@
 
 } // namespace
 
-TEST_CASE("a malformed request is refused by its kind and runs nothing")
+TEST_CASE(
+    "a malformed request is refused by its kind and runs nothing",
+    "[malformed_requests]")
 {
     const std::string nested = std::string(3000, '[') + std::string(3000, ']');
     const bad_call calls[] = {
@@ -103,7 +105,7 @@
     CHECK(fleet.search(fleet.subject(3)).status == 200);
 }
 
-TEST_CASE("an entry whose id comes twice runs once")
+TEST_CASE("an entry whose id comes twice runs once", "[doubled_id]")
 {
     test_fleet fleet;
     const auto id = std::to_string(fleet.wall_ms()) + "-77";
@@ -118,7 +120,9 @@
     CHECK(services.at("billing").at("entries") <= 1);
 }
 
-TEST_CASE("an entry whose connection breaks is never reported as not run")
+TEST_CASE(
+    "an entry whose connection breaks is never reported as not run",
+    "[broken_entry]")
 {
     test_fleet fleet;
     const auto broken = GENERATE(as<std::string>{}, "reset", "half_close");
@@ -133,7 +137,8 @@
     CHECK((runs.at("entries") == 0 || refused.at("not_run") == false));
 }
 
-TEST_CASE("a caller that leaves takes its work from the upstreams")
+TEST_CASE(
+    "a caller that leaves takes its work from the upstreams", "[caller_gone]")
 {
     test_fleet fleet;
     const auto cancelled_before = fleet.counted("cancelled");
--- a/tests/system/fault_test.cpp
+++ b/tests/system/fault_test.cpp
@@ -45,7 +45,8 @@
 
 } // namespace
 
-TEST_CASE("spoiled answers of one replica never reach a caller")
+TEST_CASE(
+    "spoiled answers of one replica never reach a caller", "[spoiled_answers]")
 {
     test_fleet fleet;
     for (const char* fault :
@@ -59,7 +60,9 @@
     }
 }
 
-TEST_CASE("broken connections of one replica cost no coverage")
+TEST_CASE(
+    "broken connections of one replica cost no coverage",
+    "[broken_connections]")
 {
     test_fleet fleet;
     for (int tenth = 0; tenth < 10; ++tenth) {
@@ -70,7 +73,8 @@
         CHECK(run_with(fleet, with(fault, true)) == searches_per_fault);
 }
 
-TEST_CASE("a replica that stays silent or drips spoils no answer")
+TEST_CASE(
+    "a replica that stays silent or drips spoils no answer", "[silent_replica]")
 {
     test_fleet fleet;
     for (const char* fault : {"hang", "drip"})
@@ -78,7 +82,7 @@
     run_with(fleet, whole);
 }
 
-TEST_CASE("an answer states what a lost shard leaves out")
+TEST_CASE("an answer states what a lost shard leaves out", "[lost_shard]")
 {
     test_fleet fleet;
     fleet.set("right", {{"shed", true}});
--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -1,5 +1,7 @@
 #include "test_fleet.hpp"
 
+#include <peridotward/config/bundle_parts.hpp>
+
 #include <stdexcept>
 
 namespace peridotward::testing {
@@ -59,7 +61,7 @@
   "peers": {"address": "127.35.3.1:8082"},
   "platform": {"configuration": "127.35.3.100:7000",
                "instance_list": "127.35.3.100:7000",
-               "poll_interval_ms": 100},
+               "poll_interval_ms": 100, "join_wait_ms": 100},
   "log": {"level": "error"},
   "limits": {"entries_max_age_ms": 2000, "stop_limit_ms": 5000}
 })";
@@ -130,17 +132,24 @@
     serving_.join();
 }
 
-void test_fleet::publish()
+void test_fleet::put(const std::string& path, std::string_view value)
 {
     client_request request;
     request.to = platform_address_;
     request.method = "PUT";
-    request.path = "/v1/values/bundle";
-    request.body = bundle_text;
-    (void)exchange(client_, request);
-    request.path = "/v1/instances";
-    request.body = instances_text;
-    (void)exchange(client_, request);
+    request.path = path;
+    request.body = value;
+    (void)exchange(client_, std::move(request));
+}
+
+void test_fleet::publish()
+{
+    const std::string value = "/v1/values/bundle";
+    const auto files = must(split_bundle(json::parse(bundle_text)));
+    for (const auto& [digest, bytes] : files.parts)
+        put(part_value_name(value, digest), bytes);
+    put(value, manifest_text(files.root));
+    put("/v1/instances", instances_text);
 }
 
 void test_fleet::await_ready()
--- a/tests/system/test_fleet.hpp
+++ b/tests/system/test_fleet.hpp
@@ -55,6 +55,7 @@
     [[nodiscard]] std::int64_t wall_ms() const;
 
 private:
+    void put(const std::string& path, std::string_view value);
     void publish();
     void await_ready();
     void stop();
