--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -179,6 +179,7 @@
     request.body = std::move(body);
     request.headers = {{"Content-Type", "application/json"}};
     request.timeout = seconds{10};
+    request.fresh_connection = true;
     return exchange(client_, std::move(request));
 }
 
