--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -61,7 +61,7 @@
   "peers": {"address": "127.35.3.1:8082"},
   "platform": {"configuration": "127.35.3.100:7000",
                "instance_list": "127.35.3.100:7000",
-               "poll_interval_ms": 100},
+               "poll_interval_ms": 100, "join_wait_ms": 100},
   "log": {"level": "error"},
   "limits": {"entries_max_age_ms": 2000, "stop_limit_ms": 5000}
 })";
@@ -132,24 +132,25 @@
     serving_.join();
 }
 
-void test_fleet::publish()
+void test_fleet::put(const std::string& path, std::string_view value)
 {
-    const std::string name = "bundle";
-    const auto files = must(split_bundle(must(parse_json(bundle_text))));
     client_request request;
     request.to = platform_address_;
     request.method = "PUT";
-    for (const auto& [digest, bytes] : files.parts) {
-        request.path = "/v1/values/" + part_value_name(name, digest);
-        request.body = bytes;
-        (void)exchange(client_, request);
-    }
-    request.path = "/v1/values/" + name;
-    request.body = manifest_text(files.root);
-    (void)exchange(client_, request);
-    request.path = "/v1/instances";
-    request.body = instances_text;
-    (void)exchange(client_, request);
+    request.path = path;
+    request.body = value;
+    (void)exchange(client_, std::move(request));
+}
+
+void test_fleet::publish()
+{
+    const std::string name = "bundle";
+    const std::string prefix = "/v1/values/";
+    const auto files = must(split_bundle(must(parse_json(bundle_text))));
+    for (const auto& [digest, bytes] : files.parts)
+        put(prefix + part_value_name(name, digest), bytes);
+    put(prefix + name, manifest_text(files.root));
+    put("/v1/instances", instances_text);
 }
 
 void test_fleet::await_ready()
@@ -179,6 +180,7 @@
     request.body = std::move(body);
     request.headers = {{"Content-Type", "application/json"}};
     request.timeout = seconds{10};
+    request.fresh_connection = true;
     return exchange(client_, std::move(request));
 }
 
