--- a/config/include/peridotward/config/settings.hpp
+++ b/config/include/peridotward/config/settings.hpp
@@ -37,6 +37,8 @@
     endpoint address;
     std::size_t max_frame_bytes = 4U << 20U;
     std::string key_file; ///< Shared key of the fleet; empty for none.
+    /// Whether operators may cut links, for tests.
+    bool test_filter = false;
 };
 
 /// \brief Where the users' platform publishes.
@@ -46,6 +48,7 @@
     endpoint instance_list;
     std::string bundle_name = "bundle"; ///< Name of the published value.
     milliseconds poll_interval{1000};
+    milliseconds join_wait{3000}; ///< Longest wait for peers at a start.
 };
 
 /// \brief Who must have signed a bundle.
--- a/config/src/settings.cpp
+++ b/config/src/settings.cpp
@@ -65,6 +65,7 @@
         max_bytes,
         static_cast<std::int64_t>(peers.max_frame_bytes)));
     peers.key_file = reader.text_or("key_file", "");
+    peers.test_filter = reader.flag_or("test_filter", false);
     reader.finish();
     return peers;
 }
@@ -77,6 +78,7 @@
     platform.bundle_name = reader.text_or("bundle_name", platform.bundle_name);
     platform.poll_interval =
         read_ms(reader, "poll_interval_ms", platform.poll_interval);
+    platform.join_wait = read_ms(reader, "join_wait_ms", platform.join_wait);
     reader.finish();
     return platform;
 }
--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -1,9 +1,12 @@
+#include "curl_poller.hpp"
+
 #include <peridotward/http/http_client.hpp>
 
 #include <curl/curl.h>
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +28,7 @@
     http_client::completion done;
     std::size_t max_body_bytes = 0;
     bool too_large = false;
+    bool headers_ended = false; ///< The blank line after the fields came.
 };
 
 std::size_t on_body(char* data, std::size_t size, std::size_t count, void* user)
@@ -44,6 +48,10 @@
 {
     auto& self = *static_cast<exchange*>(user);
     const std::string_view line{data, size * count};
+    if (line.starts_with("HTTP/"))
+        self.headers_ended = false;
+    if (line == "\r\n" || line == "\n")
+        self.headers_ended = true;
     const auto colon = line.find(':');
     if (colon == std::string_view::npos)
         return line.size();
@@ -61,10 +69,29 @@
     return line.size();
 }
 
+/// Runs when the connection is there and no byte of the request has left.
+int before_request(void* user, char*, char*, int, int)
+{
+    const auto& self = *static_cast<exchange*>(user);
+    return self.request.may_send() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+/// \returns Whether the end of the answer is known from its own fields.
+/// libcurl takes a close within the fields, or after a body without a length,
+/// as the end of a whole answer.
+bool framed(const exchange& ended)
+{
+    const auto& headers = ended.response.headers;
+    return ended.headers_ended &&
+           (!find_header(headers, "content-length").empty() ||
+            !find_header(headers, "transfer-encoding").empty());
+}
+
 transport_outcome outcome_of(const exchange& ended, CURLcode code)
 {
     if (code == CURLE_OK)
-        return transport_outcome::answered;
+        return framed(ended) ? transport_outcome::answered
+                             : transport_outcome::broken;
     if (ended.too_large)
         return transport_outcome::body_too_large;
     long sent_bytes = 0;
@@ -80,6 +107,7 @@
 struct http_client::impl
 {
     CURLM* multi = nullptr;
+    std::optional<curl_poller> poller;
     std::size_t max_body_bytes = 0;
     std::uint64_t last_call = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<exchange>> running;
@@ -138,11 +166,15 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &started);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &started);
+    if (request.may_send) {
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &started);
+    }
     if (request.fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
-    if (request.method == "POST") {
+    if (request.method == "POST" || !request.body.empty()) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(
@@ -150,9 +182,8 @@
             CURLOPT_POSTFIELDSIZE,
             static_cast<long>(request.body.size()));
     }
-    else if (request.method != "GET") {
+    if (request.method != "GET" && request.method != "POST")
         curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-    }
 }
 
 void http_client::impl::finish(CURL* easy, CURLcode code)
@@ -186,6 +217,7 @@
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     impl_->multi = curl_multi_init();
+    impl_->poller.emplace(impl_->multi);
     impl_->max_body_bytes = max_body_bytes;
     curl_multi_setopt(
         impl_->multi, CURLMOPT_MAXCONNECTS, max_cached_connections);
@@ -224,24 +256,13 @@
 
 void http_client::poll(duration max_wait)
 {
-    int active = 0;
-    curl_multi_perform(impl_->multi, &active);
-    impl_->collect();
-    const auto wait_ms =
-        std::chrono::duration_cast<milliseconds>(max_wait).count();
-    curl_multi_poll(
-        impl_->multi,
-        nullptr,
-        0,
-        static_cast<int>(std::max<std::int64_t>(0, wait_ms)),
-        nullptr);
-    curl_multi_perform(impl_->multi, &active);
+    impl_->poller->run(max_wait);
     impl_->collect();
 }
 
 void http_client::wake() noexcept
 {
-    curl_multi_wakeup(impl_->multi);
+    impl_->poller->wake();
 }
 
 std::size_t http_client::running() const noexcept
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -8,6 +8,9 @@
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
 #include <peridotward/config/settings.hpp>
+#include <peridotward/core/config_store.hpp>
+#include <peridotward/core/hedge_budget.hpp>
+#include <peridotward/core/replica_stats.hpp>
 #include <peridotward/core/snapshot_tracker.hpp>
 
 #include <string>
@@ -31,21 +34,41 @@
     metrics counted;
     random_source random;
     std::string process; ///< Instance and start; unique over restarts.
-    bundle_ptr in_force; ///< Null until a bundle is accepted.
+    const config_store* configuration = nullptr; ///< Null in tests of parts.
+    bundle_ptr in_force;   ///< Null until a bundle is accepted.
+    wall_time accepted_at; ///< When it came into force.
     instance_list listed;
     snapshot_tracker snapshots;
+    replica_stats replicas;
+    hedge_budget extras;                         ///< For hedges and retries.
     std::unordered_set<std::string> running_ids; ///< Callers' request ids.
     recent_queries recent;
+    std::string waiting_for; ///< What the fleet owes before serving.
     bool leaving = false;
+    bool superseded = false; ///< A later start fills the same seat.
+
+    /// Puts `next` in force; what is known of upstreams is kept.
+    void put_in_force(bundle_ptr next)
+    {
+        snapshots.rebase(in_force.get(), *next);
+        replicas.rebase(in_force.get(), *next);
+        in_force = std::move(next);
+    }
 
     /// \returns Whether the instance can serve, else the reason.
     [[nodiscard]] std::string not_ready_reason() const
     {
         if (leaving)
             return "the instance is leaving";
+        if (superseded)
+            return "a later start fills this seat";
         if (!in_force)
             return "no bundle is in force";
-        return {};
+        if (!waiting_for.empty())
+            return waiting_for;
+        return configuration == nullptr
+                   ? std::string{}
+                   : configuration->waiting_for(loop.now());
     }
 };
 
