--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query.hpp
@@ -34,6 +34,8 @@
 public:
     /// \brief Attempts of one part that may reach upstreams.
     static constexpr std::uint32_t max_tries = 4;
+    /// Of a query's whole time, the part that passes before `overdue`.
+    static constexpr int overdue_divisor = 4;
     /// \brief Attempts of one part that nothing was sent for.
     static constexpr std::uint32_t max_redirects = 12;
     /// \brief Redirects of one part that go out without a pause.
@@ -197,6 +199,12 @@
     void forget_tried(part_state& part) noexcept;
     void cancel_live(std::uint32_t part, query_actions& out);
     static void drop_unsent(query_actions& out);
+    /// Whether so much of the query's time is gone that a part without an
+    /// answer counts as failed.
+    [[nodiscard]] bool overdue(time_point now) const noexcept
+    {
+        return (now - begun_) * overdue_divisor >= start_.deadline - begun_;
+    }
     void finish_if_settled(query_actions& out);
     void finish_at_deadline(query_actions& out);
     void finish(query_actions& out);
@@ -213,6 +221,7 @@
     std::uint32_t replans_ = 0;
     std::uint32_t stalled_ = 0;
     bool sent_ = false;
+    time_point begun_;
     bool finished_ = false;
 };
 
--- a/core/include/peridotward/core/query_impl.hpp
+++ b/core/include/peridotward/core/query_impl.hpp
@@ -10,6 +10,7 @@
 void query::begin(
     query_policy<Replica, Hedge> policy, time_point now, query_actions& out)
 {
+    begun_ = now;
     for (std::uint32_t part = 0; part < parts_.size(); ++part)
         try_part(part, attempt_kind::first, policy, now, out);
     finish_if_settled(out);
