--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query.hpp
@@ -104,7 +104,8 @@
     [[nodiscard]] double stalled_share() const noexcept
     {
         return parts_.empty() ? 0.0
-                              : static_cast<double>(stalled_) / parts_.size();
+                              : static_cast<double>(stalled_) /
+                                    static_cast<double>(parts_.size());
     }
 
     /// \returns How often the query started anew on a newer snapshot.
--- a/core/include/peridotward/core/query_impl.hpp
+++ b/core/include/peridotward/core/query_impl.hpp
@@ -136,7 +136,8 @@
         return;
     }
     const bool extra = kind != attempt_kind::first;
-    const bool granted = !extra || (hedge ? policy.budget->take_hedge()
+    const bool waits = hedge && !overdue(now);
+    const bool granted = !extra || (waits ? policy.budget->take_hedge()
                                           : policy.budget->take_retry(now));
     if (!granted) {
         const auto pause = policy.hedge->delay(service).value_or(duration{});
