--- a/instance/src/config_keeper.cpp
+++ b/instance/src/config_keeper.cpp
@@ -97,7 +97,7 @@
     return ours;
 }
 
-void config_keeper::carry_out(config_actions actions)
+void config_keeper::carry_out(const config_actions& actions)
 {
     if (actions.accepted)
         accept(actions.accepted);
--- a/instance/src/config_keeper.hpp
+++ b/instance/src/config_keeper.hpp
@@ -40,7 +40,7 @@
 
 private:
     void tick();
-    void carry_out(config_actions actions);
+    void carry_out(const config_actions& actions);
     void make_read(const config_read& read);
     void accept(const bundle_ptr& accepted);
 
