A hedge may use a cold slot of an upstream that has not proved itself

Cause: a new owner refused hedges for upstreams that had answered nothing yet, so the first search beside silent replicas ended without coverage (explain: ten hedges, all not_sent, budget "unproven"). Change: only cold and ramping upstreams refuse hedges; an unproven one bears its cold slots in any case.

--- a/core/src/upstream_budgets.cpp
+++ b/core/src/upstream_budgets.cpp
@@ -151,7 +151,11 @@
     const bool may_wait = hedge || priority == caller_priority::bulk;
     if (may_wait && !spare)
         return budget_refusal::kept_for_more;
-    if (hedge && used.bears.phase() != warmth_phase::warm)
+    // An unproven upstream has its cold slots; a hedge in one of them is no
+    // more than it bears in any case.
+    const bool starting = used.bears.phase() == warmth_phase::cold ||
+                          used.bears.phase() == warmth_phase::ramping;
+    if (hedge && starting)
         return budget_refusal::kept_for_more;
     return std::nullopt;
 }
