Test fleet: count on the ledger itself, not on a destroyed copy

Cause: counted() iterated over a member of a temporary, so it read freed memory and always summed to 0; system_caller_gone was red for that alone. Ruled out: the caller's request (its attempts stand in the counters of the instance).

--- a/tests/system/test_fleet.cpp
+++ b/tests/system/test_fleet.cpp
@@ -204,7 +204,8 @@
 std::uint64_t test_fleet::counted(const char* counter)
 {
     std::uint64_t sum = 0;
-    for (const auto& entry : ledger().at("upstreams"))
+    const auto report = ledger();
+    for (const auto& entry : report.at("upstreams"))
         sum += entry.at(counter).get<std::uint64_t>();
     return sum;
 }
