Tell upstreams the sender's domain; callers' tokens in the load tool

Cause: the stand-ins' delay between domains never applied, since no request named its domain; the load tool sent a header that instances do not read.

--- a/ctl/src/load_options.hpp
+++ b/ctl/src/load_options.hpp
@@ -29,7 +29,7 @@
     "                to each latency\n"
     "--retry         send a refused request again after retry_after_ms when\n"
     "                the refusal says that it did not run\n"
-    "--classes       shares of caller classes, sent as header Caller-Class\n"
+    "--classes       shares of callers by their token, sent as Caller-Token\n"
     "--mix           shares of single-record fetches and appended entries\n"
     "--scatter       send straight to the upstreams of BUNDLE instead\n"
     "\n"
--- a/ctl/src/load_run.cpp
+++ b/ctl/src/load_run.cpp
@@ -151,7 +151,7 @@
     message.to = request.entry;
     message.timeout = plan_.deadline + grace;
     if (!request.class_name.empty())
-        message.headers.emplace_back("Caller-Class", request.class_name);
+        message.headers.emplace_back("Caller-Token", request.class_name);
     if (request.sort == request_sort::fetch) {
         message.path = "/v1/records/" + plan_.mix.fetch_service + "/" +
                        std::to_string(request.key) +
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -47,7 +47,7 @@
 {
     explicit impl(settings configured)
         : state{std::move(configured), time, process_seed()},
-          gateway{state.loop},
+          gateway{state.loop, state.configured.instance.domain},
           fleet{state},
           executor{fleet, gateway},
           desk{fleet, executor},
--- a/instance/src/upstream_gateway.cpp
+++ b/instance/src/upstream_gateway.cpp
@@ -185,6 +185,7 @@
 
 void upstream_gateway::submit(client_request request, completion done)
 {
+    request.headers.emplace_back("instance-domain", domain_);
     loop_->client().submit(
         std::move(request), [done = std::move(done)](client_response response) {
             done(to_shard_response(std::move(response)));
--- a/instance/src/upstream_gateway.hpp
+++ b/instance/src/upstream_gateway.hpp
@@ -49,7 +49,10 @@
 public:
     using completion = std::function<void(shard_response)>;
 
-    explicit upstream_gateway(event_loop& loop) : loop_{&loop} {}
+    /// \param domain Own failure domain, told to upstreams.
+    upstream_gateway(event_loop& loop, std::string domain)
+        : loop_{&loop}, domain_{std::move(domain)}
+    {}
 
     void search(const shard_request& request, completion done);
 
@@ -79,6 +82,7 @@
     void submit(client_request request, completion done);
 
     event_loop* loop_;
+    std::string domain_;
 };
 
 } // namespace peridotward
