--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -44,9 +44,20 @@
     fleet_publish /v1/values/bundle "$folder/bundle"
 }
 
+fleet_trust() { # prints settings under which a class's name is its token
+    local class digest list=""
+    for class in $(sed -n '/"caller_classes"/,/]/s/.*"id": "\([^"]*\)".*/\1/p' \
+        "$files/bundle.jsonc"); do
+        digest=$(printf %s "$class" | sha256sum | cut -d' ' -f1)
+        list+="{\"sha256\": \"$digest\", \"class\": \"$class\"},"
+    done
+    echo "\"trust\": {\"tokens\": [${list%,}]}"
+}
+
 fleet_settings() { # NUMBER: prints a copy that requires the demo's approver
-    local copy=$work/$prefix-$1.jsonc
-    sed -e "s|^  \"log\":|  \"sign_off\": {\"key_files\": [\"$work/approver.pub\"], \"required\": 1},\n&|" \
+    local copy=$work/$prefix-$1.jsonc trust
+    trust=$(fleet_trust)
+    sed -e "s|^  \"log\":|  $trust,\n  \"sign_off\": {\"key_files\": [\"$work/approver.pub\"], \"required\": 1},\n&|" \
         "$files/$prefix-$1.jsonc" >"$copy"
     echo "$copy"
 }
