Linter: three copies in the peers' link

Change: addresses and options by reference; a dropped session is extracted, so that its handle lives until it is closed.

--- a/wire/include/peridotward/wire/peer_link.hpp
+++ b/wire/include/peridotward/wire/peer_link.hpp
@@ -66,7 +66,7 @@
 class peer_link
 {
 public:
-    peer_link(peer_link_options options, peer_link_events events);
+    peer_link(const peer_link_options& options, peer_link_events events);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
--- a/wire/src/link/frame_link.cpp
+++ b/wire/src/link/frame_link.cpp
@@ -71,7 +71,7 @@
 {
     boost::asio::post(
         impl_->io, [this, addresses = std::move(addresses)]() mutable {
-            impl_->connections.set_addresses(std::move(addresses));
+            impl_->connections.set_addresses(addresses);
         });
 }
 
--- a/wire/src/link/inbound.cpp
+++ b/wire/src/link/inbound.cpp
@@ -172,9 +172,10 @@
     const auto found = sessions_.find(connection);
     if (found == sessions_.end())
         return;
-    const auto ended = std::move(found->second);
-    const handle closing = connection;
-    sessions_.erase(found);
+    // The node keeps the handle alive when `connection` refers to it.
+    const auto node = sessions_.extract(found);
+    const auto& ended = node.mapped();
+    const handle& closing = node.key();
     if (ended.admitted) {
         --admitted_;
         const auto seat = by_seat_.find(ended.hello->seat);
--- a/wire/src/link/outbound.cpp
+++ b/wire/src/link/outbound.cpp
@@ -31,9 +31,10 @@
     client_.set_max_message_size(max_admission_bytes);
 }
 
-void outbound::set_addresses(std::map<std::string, link_address> addresses)
+void outbound::set_addresses(
+    const std::map<std::string, link_address>& addresses)
 {
-    for (auto& [seat, address] : addresses) {
+    for (const auto& [seat, address] : addresses) {
         auto& known = peers_[seat];
         if (!known) {
             known = std::make_shared<peer>(*io_);
--- a/wire/src/link/outbound.hpp
+++ b/wire/src/link/outbound.hpp
@@ -21,7 +21,7 @@
     outbound(
         boost::asio::io_context& io, link_context& shared, std::uint64_t seed);
 
-    void set_addresses(std::map<std::string, link_address> addresses);
+    void set_addresses(const std::map<std::string, link_address>& addresses);
     void send(const std::string& seat, std::string frame, std::uint64_t ticket);
 
     /// Ends the connections to seats that are refused now.
--- a/wire/src/peer_link.cpp
+++ b/wire/src/peer_link.cpp
@@ -47,7 +47,7 @@
     frame_link frames;
 };
 
-peer_link::peer_link(peer_link_options options, peer_link_events events)
+peer_link::peer_link(const peer_link_options& options, peer_link_events events)
     : impl_{std::make_unique<impl>(options, std::move(events))}
 {}
 
