--- /dev/null
+++ b/core/include/peridotward/core/budgets/retry_ledger.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <peridotward/core/budgets/retry_window.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace peridotward {
+
+/// \brief The retry windows of all services, as seen by one instance.
+class retry_ledger
+{
+public:
+    explicit retry_ledger(retry_bounds bounds) : bounds_{bounds} {}
+
+    /// \brief Says how many instances may spend from the same extra.
+    ///
+    /// \remarks Only ever raised: an instance that is not heard of may be
+    /// cut off and go on spending.
+    void instances(std::uint32_t count) noexcept
+    {
+        instances_ = std::max(instances_, count);
+    }
+
+    void on_request(const std::string& service, time_point now)
+    {
+        windows_[service].on_request(bounds_, now);
+    }
+    [[nodiscard]] bool take(const std::string& service, time_point now)
+    {
+        return windows_[service].take(bounds_, instances_, now);
+    }
+    void give_back(const std::string& service)
+    {
+        windows_[service].give_back();
+    }
+    [[nodiscard]] double left(const std::string& service, time_point now)
+    {
+        return windows_[service].left(bounds_, instances_, now);
+    }
+
+private:
+    retry_bounds bounds_;
+    std::uint32_t instances_ = 1;
+    std::unordered_map<std::string, retry_window> windows_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/core/include/peridotward/core/budgets/retry_window.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <peridotward/base/time.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace peridotward {
+
+/// \brief How many repeats upstreams bear, over the whole fleet.
+struct retry_bounds
+{
+    double ratio = 0.1;                ///< Repeats for each request.
+    double extra = 10;                 ///< Repeats beyond the ratio.
+    duration window = seconds{10};     ///< Any span of this length counts.
+};
+
+/// \brief One instance's allowance of repeats at one service.
+///
+/// \remarks Keeps the sum over all instances within `retry_bounds` without
+/// asking them: an instance spends the ratio of its own requests and an equal
+/// part of the extra. Repeats are counted over a span a little longer than
+/// the window and requests over one a little shorter, so the bound holds for
+/// every position of the window.
+class retry_window
+{
+public:
+    static constexpr std::size_t slices = 10;
+
+    /// \brief Counts a request of a caller for the service.
+    void on_request(const retry_bounds& bounds, time_point now) noexcept;
+
+    /// \param instances Instances that may spend from the same extra.
+    /// \returns Whether a repeat may be sent; counts it if so.
+    [[nodiscard]] bool take(
+        const retry_bounds& bounds,
+        std::uint32_t instances,
+        time_point now) noexcept;
+
+    /// \brief Gives back a repeat that was not sent.
+    void give_back() noexcept;
+
+    /// \returns The repeats that may be sent now.
+    [[nodiscard]] double
+    left(const retry_bounds& bounds, std::uint32_t instances, time_point now)
+        noexcept;
+
+private:
+    struct slice
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+    };
+
+    void advance(const retry_bounds& bounds, time_point now) noexcept;
+
+    /// The window, the slice that is filling, and one more for repeats.
+    std::array<slice, slices + 2> ring_{};
+    std::size_t head_ = 0;
+    time_point head_start_;
+};
+
+} // namespace peridotward
--- a/core/include/peridotward/core/membership.hpp
+++ b/core/include/peridotward/core/membership.hpp
@@ -104,6 +104,12 @@
     /// stop serving then.
     [[nodiscard]] bool superseded() const noexcept { return superseded_; }
 
+    /// \brief Takes the seat back from the later start that was heard of.
+    ///
+    /// \remarks For a seat that only one process at a time can fill, such as
+    /// an address: the later number then comes from a clock that was ahead.
+    void outlive() noexcept;
+
     /// \returns The highest bundle version that any member has in force, and
     /// its digest.
     [[nodiscard]] const config_summary& highest_config() const noexcept
@@ -174,6 +180,7 @@
     std::uint64_t revision_ = 0;
     std::uint32_t self_spreads_left_ = 0;
     bool superseded_ = false;
+    incarnation_number superseded_by_ = 0;
 };
 
 } // namespace peridotward
--- /dev/null
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <peridotward/base/random.hpp>
+#include <peridotward/core/budgets/cold_limit.hpp>
+#include <peridotward/core/discovery/upstream_catalog.hpp>
+#include <peridotward/core/routing/forward_config.hpp>
+
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotward {
+
+/// \brief Who else sends to the same upstreams.
+struct fleet_view
+{
+    std::string self;                ///< Name of this instance.
+    std::vector<std::string> others; ///< Names of all that may be running.
+};
+
+/// \brief Chooses the upstream for one request.
+///
+/// \remarks Takes the replica with the least expected time to its answer:
+/// how slow it was lately, the work before the request, how long it has been
+/// silent with requests open, and how often it fails. The own failure domain
+/// wins among equals. Loads told by answers cover what other instances send.
+class replica_choice
+{
+public:
+    /// Factor on the expected time in another failure domain: the way there
+    /// and back, and the price of traffic between domains.
+    static constexpr double other_domain_factor = 1.12;
+    /// Factor on the expected time of a replica in a cold start.
+    static constexpr double cold_factor = 2.0;
+    /// A failure or refusal costs about this many usual latencies.
+    static constexpr double failure_cost = 8;
+    static constexpr double refusal_cost = 3;
+
+    replica_choice(
+        upstream_catalog& catalog,
+        cold_bounds cold,
+        std::string own_domain,
+        random_source& random)
+        : catalog_{&catalog}, cold_{cold}, own_domain_{std::move(own_domain)},
+          random_{&random}
+    {}
+
+    /// \param avoid Replicas that the request was sent to before.
+    /// \param usual The usual time of this kind of request.
+    /// \returns The replica, counted against its cold limit, or nothing when
+    /// none may be used now.
+    [[nodiscard]] std::optional<replica_number> choose(
+        const forward_service& service,
+        std::span<const replica_number> avoid,
+        duration usual,
+        const fleet_view& fleet,
+        time_point now);
+
+    /// \returns The expected time of the next request, in usual latencies.
+    [[nodiscard]] double
+    cost(const replica& candidate, duration usual, time_point now) const;
+
+private:
+    [[nodiscard]] bool take_cold(
+        const replica& candidate,
+        const forward_service& service,
+        const fleet_view& fleet,
+        time_point now);
+
+    upstream_catalog* catalog_;
+    cold_bounds cold_;
+    std::string own_domain_;
+    random_source* random_;
+    std::unordered_map<replica_number, cold_window> cold_windows_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <peridotward/base/time.hpp>
+
+#include <cstdint>
+
+namespace peridotward {
+
+/// \brief What one answer tells of the load of its replica.
+struct told_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// \brief What this instance has seen of one replica.
+///
+/// \remarks Slowness is a ratio to the usual time of the same kind of request,
+/// so that long and short requests speak of the same thing.
+class replica_health
+{
+public:
+    /// \brief Notes that a request was sent.
+    void on_sent(time_point now) noexcept;
+
+    /// \brief Notes a good answer.
+    /// \param usual The usual time of this kind of request; zero if unknown.
+    void
+    on_answered(duration took, duration usual, time_point now) noexcept;
+
+    /// \brief Notes a failure of the replica.
+    void on_failed(time_point now) noexcept;
+
+    /// \brief Notes that the replica refused a request as too busy.
+    void on_shed(time_point now) noexcept;
+
+    /// \brief Notes that no connection could be made.
+    void on_unreachable(time_point now) noexcept;
+
+    /// \brief Notes that an attempt ended without saying anything of the
+    /// replica: withdrawn by the caller.
+    void on_withdrawn() noexcept;
+
+    /// \brief Notes that an attempt was overtaken by a hedge elsewhere.
+    void on_overtaken(duration waited, duration usual, time_point now) noexcept;
+
+    void on_load(told_load load, time_point now) noexcept;
+
+    /// \returns Times the usual latency that the next request will take,
+    /// without the requests queued before it.
+    [[nodiscard]] double slowness(time_point now) const noexcept;
+
+    /// \returns Share of requests that fail, in [0, 1].
+    [[nodiscard]] double failure_share(time_point now) const noexcept;
+
+    /// \returns Share of requests that are refused, in [0, 1].
+    [[nodiscard]] double shed_share(time_point now) const noexcept;
+
+    /// \returns Requests of this instance that are on their way.
+    [[nodiscard]] std::uint32_t in_flight() const noexcept
+    {
+        return in_flight_;
+    }
+
+    /// \returns Requests that the replica has beyond those of this instance,
+    /// as told lately.
+    [[nodiscard]] double others_load(time_point now) const noexcept;
+
+    /// \returns Whether connections fail and the next try is not yet due.
+    [[nodiscard]] bool unreachable(time_point now) const noexcept
+    {
+        return now < retry_at_;
+    }
+
+    /// \returns Since when the replica owes an answer without any sign of
+    /// life, or the default time point.
+    [[nodiscard]] time_point silent_since() const noexcept { return silent_; }
+
+private:
+    void ended() noexcept;
+
+    double slowness_ = 1;
+    time_point slowness_at_;
+    double failures_ = 0;
+    double sheds_ = 0;
+    time_point outcomes_at_;
+    std::uint32_t in_flight_ = 0;
+    double others_ = 0;
+    time_point others_at_;
+    std::uint32_t unreachable_streak_ = 0;
+    time_point retry_at_;
+    time_point silent_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/core/src/budgets/cold_limit.cpp
@@ -0,0 +1,40 @@
+#include <peridotward/core/budgets/cold_limit.hpp>
+
+#include <peridotward/base/hash.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace peridotward {
+
+std::uint32_t cold_allowance(
+    std::string_view id,
+    double rate,
+    const cold_bounds& bounds,
+    std::string_view self,
+    std::span<const std::string> instances)
+{
+    const auto total = static_cast<std::uint32_t>(
+        std::floor(std::max(0.0, rate * bounds.over + bounds.slack)));
+    const auto count = static_cast<std::uint32_t>(instances.size()) + 1;
+    const auto each = total / count;
+    const auto rest = total % count;
+    const auto own = rendezvous_weight(id, self);
+    const auto ahead = std::count_if(
+        instances.begin(), instances.end(), [&](const std::string& other) {
+            return rendezvous_weight(id, other) > own;
+        });
+    return each + (static_cast<std::uint32_t>(ahead) < rest ? 1 : 0);
+}
+
+bool cold_window::take(std::uint32_t allowance, time_point now)
+{
+    while (!sent_.empty() && now - sent_.front() >= seconds{1})
+        sent_.pop_front();
+    if (sent_.size() >= allowance)
+        return false;
+    sent_.push_back(now);
+    return true;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -0,0 +1,131 @@
+#include <peridotward/core/discovery/upstream_catalog.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotward {
+
+void upstream_catalog::add(upstream_record record, time_point now)
+{
+    auto added = std::make_unique<replica>();
+    added->number = static_cast<replica_number>(replicas_.size());
+    added->cold_until = now + record.cold_left;
+    by_id_[record.id] = added->number;
+    by_service_[record.service].push_back(added->number);
+    added->published = std::move(record);
+    replicas_.push_back(std::move(added));
+}
+
+void upstream_catalog::remove(replica_number number)
+{
+    const auto& ended = at(number).published;
+    auto& listed = by_service_[ended.service];
+    std::erase(listed, number);
+    const auto found = by_id_.find(ended.id);
+    if (found != by_id_.end() && found->second == number)
+        by_id_.erase(found);
+}
+
+void upstream_catalog::publish(upstream_record record, time_point now)
+{
+    const auto found = by_id_.find(record.id);
+    if (found == by_id_.end()) {
+        add(std::move(record), now);
+        return;
+    }
+    auto& known = at(found->second);
+    const bool another_start = known.published.born != record.born ||
+                               known.published.address != record.address ||
+                               known.published.service != record.service;
+    if (another_start) {
+        known.gone_at = now;
+        remove(known.number);
+        add(std::move(record), now);
+        return;
+    }
+    if (record.revision < known.published.revision)
+        return;
+    known.gone_at.reset();
+    known.cold_until = now + record.cold_left;
+    known.published = std::move(record);
+}
+
+void upstream_catalog::withdraw(std::string_view id, time_point now)
+{
+    const auto found = by_id_.find(std::string{id});
+    if (found == by_id_.end())
+        return;
+    auto& known = at(found->second);
+    if (!known.gone_at)
+        known.gone_at = now;
+}
+
+void upstream_catalog::replace(
+    std::vector<upstream_record> listing, time_point now)
+{
+    std::set<std::string> listed;
+    for (const auto& record : listing)
+        listed.insert(record.id);
+    for (const auto number : live()) {
+        if (!listed.contains(at(number).published.id))
+            withdraw(at(number).published.id, now);
+    }
+    for (auto& record : listing)
+        publish(std::move(record), now);
+}
+
+void upstream_catalog::bar_domain(std::string_view domain, bool barred)
+{
+    if (barred)
+        barred_.emplace(domain);
+    else if (const auto found = barred_.find(domain); found != barred_.end())
+        barred_.erase(found);
+}
+
+void upstream_catalog::bar_only(std::set<std::string, std::less<>> domains)
+{
+    barred_ = std::move(domains);
+}
+
+const std::vector<replica_number>&
+upstream_catalog::of_service(std::string_view service) const
+{
+    static const std::vector<replica_number> none;
+    const auto found = by_service_.find(std::string{service});
+    return found == by_service_.end() ? none : found->second;
+}
+
+replica_standing
+upstream_catalog::standing(const replica& candidate) const noexcept
+{
+    const auto& published = candidate.published;
+    if (published.draining || barred_.contains(published.domain))
+        return replica_standing::barred;
+    return candidate.gone_at ? replica_standing::fading
+                             : replica_standing::serving;
+}
+
+std::vector<replica_number> upstream_catalog::expire(time_point now)
+{
+    std::vector<replica_number> ended;
+    for (const auto number : live()) {
+        const auto& known = at(number);
+        if (known.gone_at && now - *known.gone_at >= lapse_return) {
+            remove(number);
+            ended.push_back(number);
+        }
+    }
+    return ended;
+}
+
+std::vector<replica_number> upstream_catalog::live() const
+{
+    std::vector<replica_number> numbers;
+    numbers.reserve(by_id_.size());
+    for (const auto& [id, number] : by_id_)
+        numbers.push_back(number);
+    std::sort(numbers.begin(), numbers.end());
+    return numbers;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/core/src/gather/forwarded_request.cpp
@@ -0,0 +1,289 @@
+#include <peridotward/core/gather/forwarded_request.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotward {
+
+namespace {
+
+/// Wait before a hedge while the usual latency is not known.
+constexpr milliseconds unknown_hedge_wait{60};
+/// Wait before the next look when a wanted hedge had no budget or replica.
+constexpr milliseconds hedge_pause{10};
+/// Rounding of shares of shards.
+constexpr double share_tolerance = 1e-9;
+
+} // namespace
+
+forwarded_request::forwarded_request(
+    forward_config_ptr config,
+    const forward_route& route,
+    std::vector<forward_service_index> services,
+    forward_times times)
+    : config_{std::move(config)}, route_{&route}, times_{times}
+{
+    parts_.resize(services.size());
+    for (std::size_t i = 0; i < services.size(); ++i)
+        parts_[i].service = services[i];
+    attempts_.reserve(parts_.size() + 2);
+}
+
+bool forwarded_request::enough() const noexcept
+{
+    const auto total = static_cast<double>(parts_.size());
+    const double least = route_->scatters() ? route_->least_shard_share : 1.0;
+    return in_ > 0 && in_ / total >= least - share_tolerance;
+}
+
+bool forwarded_request::hopeless() const noexcept
+{
+    const auto total = static_cast<double>(parts_.size());
+    const double least = route_->scatters() ? route_->least_shard_share : 1.0;
+    const auto reachable = parts_.size() - given_up_;
+    return reachable == 0 || reachable / total < least - share_tolerance;
+}
+
+forward_end forwarded_request::failure() const noexcept
+{
+    return may_have_run_ ? forward_end::failed : forward_end::not_run;
+}
+
+void forwarded_request::finish(forward_end end, forward_actions& out)
+{
+    ended_ = true;
+    out.sends.clear();
+    out.end = end;
+}
+
+void forwarded_request::give_up(std::uint32_t part) noexcept
+{
+    auto& lost = parts_[part];
+    if (lost.given_up || lost.in)
+        return;
+    lost.given_up = true;
+    lost.hedge_at = time_point::max();
+    ++given_up_;
+}
+
+bool forwarded_request::send(
+    std::uint32_t part,
+    const forward_tools& tools,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    auto& wanted = parts_[part];
+    const auto& service = service_of(part);
+    const auto chosen = tools.choice->choose(
+        service, wanted.tried, profile.usual(), *tools.fleet, now);
+    if (!chosen)
+        return false;
+    const bool repeat = wanted.arrivals > 0;
+    if (repeat && !tools.repeats->take(service.name, now))
+        return false;
+    wanted.tried.push_back(*chosen);
+    ++wanted.open;
+    ++wanted.ran;
+    ++wanted.arrivals;
+    repeats_ += repeat ? 1 : 0;
+    tools.catalog->at(*chosen).health.on_sent(now);
+    const auto wait = profile.hedge_after() > duration::zero()
+                          ? profile.hedge_after()
+                          : duration{unknown_hedge_wait};
+    const bool may_hedge = route_->repeat == repeat_rule::idempotent &&
+                           wanted.ran < route_->max_attempts;
+    wanted.hedge_at = may_hedge ? now + wait : time_point::max();
+    out.sends.push_back(
+        {static_cast<std::uint32_t>(attempts_.size()), part, *chosen, repeat});
+    attempts_.push_back({part, *chosen, now, repeat, true});
+    return true;
+}
+
+void forwarded_request::begin(
+    const forward_tools& tools,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        tools.repeats->on_request(service_of(part).name, now);
+        if (!send(part, tools, profile, now, out))
+            give_up(part);
+    }
+    // Nothing has left yet, so this refusal is true.
+    if (hopeless()) {
+        for (auto& unsent : attempts_) {
+            unsent.open = false;
+            tools.catalog->at(unsent.to).health.on_withdrawn();
+        }
+        finish(forward_end::not_run, out);
+    }
+}
+
+void forwarded_request::retry(
+    std::uint32_t part,
+    const forward_tools& tools,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    auto& wanted = parts_[part];
+    if (wanted.in || wanted.open > 0)
+        return;
+    const bool may_repeat =
+        route_->repeat == repeat_rule::idempotent || wanted.ran == 0;
+    const bool tries_left = wanted.ran < route_->max_attempts &&
+                            wanted.refusals < max_refusals;
+    if (!may_repeat || !tries_left ||
+        !send(part, tools, profile, now, out))
+        give_up(part);
+}
+
+void forwarded_request::hedge(
+    std::uint32_t part,
+    const forward_tools& tools,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    auto& wanted = parts_[part];
+    if (!send(part, tools, profile, now, out))
+        wanted.hedge_at = now + hedge_pause;
+}
+
+bool forwarded_request::on_result(
+    std::uint32_t attempt,
+    forward_outcome outcome,
+    const forward_tools& tools,
+    latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    auto& ended = attempts_[attempt];
+    if (!ended.open)
+        return false;
+    ended.open = false;
+    auto& part = parts_[ended.part];
+    --part.open;
+    auto& health = tools.catalog->at(ended.to).health;
+    switch (outcome) {
+    case forward_outcome::answered:
+        health.on_answered(now - ended.sent, profile.usual(), now);
+        profile.add(now - ended.sent);
+        may_have_run_ = true;
+        break;
+    case forward_outcome::failed:
+    case forward_outcome::broken:
+        health.on_failed(now);
+        may_have_run_ = true;
+        break;
+    case forward_outcome::refused:
+        health.on_shed(now);
+        --part.ran;
+        ++part.refusals;
+        break;
+    case forward_outcome::misdirected:
+        health.on_unreachable(now);
+        --part.ran;
+        ++part.refusals;
+        break;
+    case forward_outcome::unreachable:
+    case forward_outcome::unsent:
+        if (outcome == forward_outcome::unreachable)
+            health.on_unreachable(now);
+        else
+            health.on_withdrawn();
+        --part.ran;
+        --part.arrivals;
+        ++part.refusals;
+        if (ended.repeat)
+            tools.repeats->give_back(service_of(ended.part).name);
+        break;
+    }
+    if (ended_ || part.in)
+        return false;
+    if (outcome != forward_outcome::answered) {
+        retry(ended.part, tools, profile, now, out);
+        settle(now, out);
+        return false;
+    }
+    part.in = true;
+    part.hedge_at = time_point::max();
+    ++in_;
+    if (part.given_up) {
+        part.given_up = false;
+        --given_up_;
+    }
+    for (const auto& other : attempts_) {
+        if (other.open && attempts_[attempt].part == other.part)
+            tools.catalog->at(other.to).health.on_overtaken(
+                now - other.sent, profile.usual(), now);
+    }
+    settle(now, out);
+    return true;
+}
+
+time_point forwarded_request::late_until() const noexcept
+{
+    const auto had = times_.worth_until - times_.arrived;
+    return times_.worth_until + had / late_wait_divisor;
+}
+
+bool forwarded_request::due_partial(time_point now) const noexcept
+{
+    const bool none_left =
+        std::all_of(parts_.begin(), parts_.end(), [](const auto& part) {
+            return part.in || part.given_up;
+        });
+    const bool last_in_time = now >= times_.worth_until && !worth_passed_;
+    return enough() && (none_left || last_in_time || now >= late_until() ||
+                        now >= times_.final_by);
+}
+
+void forwarded_request::settle(time_point now, forward_actions& out)
+{
+    if (ended_)
+        return;
+    if (in_ == parts_.size())
+        finish(forward_end::complete, out);
+    else if (hopeless())
+        finish(failure(), out);
+    else if (due_partial(now))
+        finish(forward_end::partial, out);
+    else if (now >= times_.final_by)
+        finish(forward_end::timed_out, out);
+    worth_passed_ = now >= times_.worth_until;
+    late_passed_ = now >= late_until();
+}
+
+void forwarded_request::on_time(
+    const forward_tools& tools,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    settle(now, out);
+    if (ended_)
+        return;
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        if (parts_[part].hedge_at <= now)
+            hedge(part, tools, profile, now, out);
+    }
+}
+
+time_point forwarded_request::next_wakeup() const noexcept
+{
+    auto due = times_.final_by;
+    if (!worth_passed_)
+        due = std::min(due, times_.worth_until);
+    else if (!late_passed_)
+        due = std::min(due, late_until());
+    for (const auto& part : parts_) {
+        if (!part.in && !part.given_up)
+            due = std::min(due, part.hedge_at);
+    }
+    return due;
+}
+
+} // namespace peridotward
--- a/core/src/membership.cpp
+++ b/core/src/membership.cpp
@@ -130,6 +130,17 @@
     next_probe_ = std::min(next_probe_, now);
 }
 
+void membership::outlive() noexcept
+{
+    if (!superseded_)
+        return;
+    self_.incarnation = superseded_by_ + 1;
+    self_.refutation = 0;
+    self_spreads_left_ = spread_count();
+    superseded_ = false;
+    ++revision_;
+}
+
 std::uint32_t membership::spread_count() const noexcept
 {
     std::uint32_t doublings = 1;
@@ -190,6 +201,7 @@
 {
     if (heard.incarnation > self_.incarnation) {
         superseded_ = true;
+        superseded_by_ = std::max(superseded_by_, heard.incarnation);
         ++revision_;
         return;
     }
--- /dev/null
+++ b/core/src/placement/replica_choice.cpp
@@ -0,0 +1,105 @@
+#include <peridotward/core/placement/replica_choice.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace peridotward {
+
+namespace {
+
+/// Before any answer, an expected time for the sake of comparing silences.
+constexpr milliseconds unknown_usual{20};
+/// Silence up to this many usual latencies says nothing.
+constexpr double plain_silence = 2;
+/// Costs this close are equal: the choice among them is random.
+constexpr double random_spread = 0.1;
+
+} // namespace
+
+double replica_choice::cost(
+    const replica& candidate, duration usual, time_point now) const
+{
+    const auto& health = candidate.health;
+    const double slots = std::max<std::uint32_t>(candidate.published.slots, 1);
+    const double ahead = health.in_flight() + health.others_load(now);
+    const double queued = std::max(0.0, ahead + 1 - slots);
+    double expected =
+        health.slowness(now) * (1 + 0.3 * ahead / slots + queued / slots);
+    if (health.silent_since() != time_point{}) {
+        const std::chrono::duration<double> silent =
+            now - health.silent_since();
+        const std::chrono::duration<double> unit =
+            usual > duration::zero() ? usual : duration{unknown_usual};
+        expected += std::max(0.0, silent / unit - plain_silence);
+    }
+    expected += failure_cost * health.failure_share(now);
+    expected += refusal_cost * health.shed_share(now);
+    if (candidate.cold(now))
+        expected *= cold_factor;
+    if (candidate.published.domain != own_domain_)
+        expected *= other_domain_factor;
+    return expected;
+}
+
+bool replica_choice::take_cold(
+    const replica& candidate,
+    const forward_service& service,
+    const fleet_view& fleet,
+    time_point now)
+{
+    if (!candidate.cold(now) || service.cold_rate <= 0)
+        return true;
+    const auto allowance = cold_allowance(
+        candidate.published.id,
+        service.cold_rate,
+        cold_,
+        fleet.self,
+        fleet.others);
+    return cold_windows_[candidate.number].take(allowance, now);
+}
+
+std::optional<replica_number> replica_choice::choose(
+    const forward_service& service,
+    std::span<const replica_number> avoid,
+    duration usual,
+    const fleet_view& fleet,
+    time_point now)
+{
+    struct option
+    {
+        replica_number number;
+        double cost;
+    };
+    // Replicas that fade or cannot be reached come after all others.
+    constexpr double fading_cost = 1e3;
+    constexpr double unreachable_cost = 1e4;
+    std::vector<option> options;
+    for (const auto number : catalog_->of_service(service.name)) {
+        if (std::find(avoid.begin(), avoid.end(), number) != avoid.end())
+            continue;
+        const auto& candidate = catalog_->at(number);
+        const auto standing = catalog_->standing(candidate);
+        if (standing == replica_standing::barred)
+            continue;
+        double expected = cost(candidate, usual, now);
+        expected *= 1 + random_spread * random_->unit();
+        if (standing == replica_standing::fading)
+            expected += fading_cost;
+        if (candidate.health.unreachable(now))
+            expected += unreachable_cost;
+        options.push_back({number, expected});
+    }
+    while (!options.empty()) {
+        const auto best = std::min_element(
+            options.begin(), options.end(), [](const auto& a, const auto& b) {
+                return a.cost < b.cost;
+            });
+        const auto number = best->number;
+        if (take_cold(catalog_->at(number), service, fleet, now))
+            return number;
+        options.erase(best);
+    }
+    return std::nullopt;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/core/src/routing/forward_config.cpp
@@ -0,0 +1,40 @@
+#include <peridotward/core/routing/forward_config.hpp>
+
+namespace peridotward {
+
+namespace {
+
+std::string key_of(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + prefix.size());
+    key += host;
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+void forward_config::build_index()
+{
+    by_prefix_.clear();
+    for (std::uint32_t i = 0; i < routes.size(); ++i)
+        by_prefix_.emplace(key_of(routes[i].host, routes[i].prefix), i);
+}
+
+const forward_route*
+forward_config::find(std::string_view host, std::string_view path) const
+{
+    auto key = key_of(host, path);
+    while (true) {
+        const auto slash = key.rfind('/');
+        if (slash == std::string::npos || slash < host.size())
+            return nullptr;
+        key.resize(slash + 1);
+        if (const auto found = by_prefix_.find(key); found != by_prefix_.end())
+            return &routes[found->second];
+        key.pop_back();
+    }
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/include/peridotward/gateway/gateway.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <peridotward/gateway/forwarder.hpp>
+#include <peridotward/gateway/peer_gossip.hpp>
+
+#include <memory>
+#include <string_view>
+
+namespace peridotward {
+
+/// \brief Reads a directory question and writes its answer; the form of both
+/// belongs to the platform.
+class directory_codec
+{
+public:
+    directory_codec() = default;
+    directory_codec(const directory_codec&) = delete;
+    directory_codec& operator=(const directory_codec&) = delete;
+    virtual ~directory_codec() = default;
+
+    [[nodiscard]] virtual bool asks(std::string_view path) const = 0;
+    [[nodiscard]] virtual std::string
+    answer(const std::vector<endpoint>& serving, seconds ttl) const = 0;
+    [[nodiscard]] virtual bool asks_ready(std::string_view path) const = 0;
+};
+
+/// \brief One instance of the gateway: listeners, forwarding and peers.
+///
+/// \remarks What it forwards to comes from outside, through `forwarding()`.
+class gateway
+{
+public:
+    /// \brief Handed out at once to callers of the directory.
+    static constexpr std::size_t most_named = 64;
+
+    gateway(
+        reactor& loop,
+        event_log& log,
+        gateway_settings settings,
+        protocol_names names,
+        const directory_codec& codec,
+        std::uint64_t seed,
+        incarnation_number incarnation);
+    ~gateway();
+
+    [[nodiscard]] result<void> start();
+
+    /// \brief Begins the graceful shutdown.
+    void stop();
+
+    /// \brief Says that configuration and upstreams are known.
+    void upstreams_known();
+
+    /// \returns Whether callers are served.
+    [[nodiscard]] bool ready() const;
+
+    [[nodiscard]] forwarder& forwarding() noexcept;
+    [[nodiscard]] counters& numbers() noexcept;
+
+private:
+    struct parts;
+
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <peridotward/base/endpoint.hpp>
+#include <peridotward/base/error.hpp>
+#include <peridotward/base/time.hpp>
+#include <peridotward/core/budgets/cold_limit.hpp>
+#include <peridotward/core/budgets/retry_window.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace peridotward {
+
+/// \brief Where an instance listens.
+struct gateway_listeners
+{
+    endpoint callers;
+    endpoint ready;
+    endpoint directory;
+    endpoint control; ///< State dump and metrics.
+    endpoint peers;   ///< UDP, between instances.
+};
+
+/// \brief What an instance of the gateway is told at its start.
+struct gateway_settings
+{
+    std::string id;
+    std::string domain;
+    std::string region;
+    gateway_listeners listen;
+    std::vector<endpoint> seeds; ///< Peers' addresses of some instances.
+    endpoint store;              ///< Where configuration and upstreams stand.
+
+    retry_bounds repeats;
+    cold_bounds cold;
+    /// From the stop signal to the kill.
+    duration grace = seconds{6};
+    /// Longest time for which callers keep a directory answer.
+    seconds directory_ttl{1};
+    /// Taken off a caller's time: the way of the answer, and a full queue.
+    duration delivery_margin = milliseconds{12};
+};
+
+/// \returns The settings in `text` (JSON with comments), or `config_invalid`
+/// with path and value.
+[[nodiscard]] result<gateway_settings>
+parse_gateway_settings(std::string_view text);
+
+/// \returns The settings in the file `path`.
+[[nodiscard]] result<gateway_settings>
+load_gateway_settings(const std::string& path);
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+namespace peridotward {
+
+/// \brief What belongs to one request until its last attempt has ended.
+class request_state
+    : public boost::intrusive_ref_counter<
+          request_state,
+          boost::thread_unsafe_counter>
+{
+public:
+    request_state() = default;
+    request_state(const request_state&) = delete;
+    request_state& operator=(const request_state&) = delete;
+    virtual ~request_state() = default;
+};
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/src/exchange.cpp
@@ -0,0 +1,356 @@
+#include "exchange.hpp"
+
+#include <peridotward/core/gather/record_merge.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace peridotward {
+
+namespace {
+
+/// How long a replica may still answer after its deadline before the
+/// connection is given up; late answers keep the connection usable.
+constexpr milliseconds late_answer_time{250};
+
+constexpr std::array<std::string_view, 9> connection_fields{
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length"};
+
+bool listed(std::string_view list, std::string_view word) noexcept
+{
+    while (!list.empty()) {
+        const auto comma = std::min(list.find(','), list.size());
+        auto entry = list.substr(0, comma);
+        while (!entry.empty() && entry.front() == ' ')
+            entry.remove_prefix(1);
+        while (!entry.empty() && entry.back() == ' ')
+            entry.remove_suffix(1);
+        if (same_word(entry, word))
+            return true;
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
+void add_field(
+    std::string& to, std::string_view name, std::string_view value)
+{
+    to += name;
+    to += ": ";
+    to += value;
+    to += "\r\n";
+}
+
+std::string
+head_for_upstreams(const request_message& from, const protocol_names& names)
+{
+    std::string head = from.method + " " + from.target + " HTTP/1.1\r\n";
+    const auto connection = from.fields.find("Connection").value_or("");
+    for (std::size_t i = 0; i < from.fields.size(); ++i) {
+        const auto field = from.fields.at(i);
+        const bool set_here = same_word(field.name, names.time_left) ||
+                              same_word(field.name, names.expected_id);
+        if (!set_here && !hop_by_hop(field.name, connection))
+            add_field(head, field.name, field.value);
+    }
+    return head;
+}
+
+} // namespace
+
+bool hop_by_hop(std::string_view name, std::string_view connection) noexcept
+{
+    const auto same = [&](std::string_view other) {
+        return same_word(name, other);
+    };
+    return std::any_of(
+               connection_fields.begin(), connection_fields.end(), same) ||
+           (!connection.empty() && listed(connection, name));
+}
+
+exchange::exchange(
+    forwarder& owner,
+    http_session& session,
+    forwarded_request request,
+    std::string request_id,
+    time_point upstream_deadline)
+    : owner_{&owner}, session_{&session}, request_{std::move(request)},
+      profile_{&owner.profiles_[request_.route().name]},
+      request_id_{std::move(request_id)},
+      upstream_deadline_{upstream_deadline},
+      head_{head_for_upstreams(session.request(), *owner.names_)},
+      body_{session.request().body},
+      has_length_{session.request().has_length},
+      bodiless_{session.request().method == "HEAD"},
+      timer_{[this] { on_time(); }}
+{
+    bodies_.resize(request_.part_count());
+    signatures_.resize(request_.part_count());
+    ++owner_->open_;
+}
+
+exchange::~exchange()
+{
+    reactor::disarm(timer_);
+}
+
+void exchange::begin()
+{
+    request_.begin(
+        owner_->tools(), *profile_, owner_->loop_->now(), actions_);
+    act();
+}
+
+void exchange::on_time()
+{
+    const boost::intrusive_ptr<exchange> keep{this};
+    request_.on_time(
+        owner_->tools(), *profile_, owner_->loop_->now(), actions_);
+    act();
+}
+
+void exchange::act()
+{
+    if (acting_)
+        return;
+    acting_ = true;
+    while (!actions_.sends.empty() || !unsendable_.empty()) {
+        const auto sends = std::exchange(actions_.sends, {});
+        for (const auto& wanted : sends)
+            send(wanted);
+        for (const auto attempt : std::exchange(unsendable_, {}))
+            request_.on_result(
+                attempt,
+                forward_outcome::unsent,
+                owner_->tools(),
+                *profile_,
+                owner_->loop_->now(),
+                actions_);
+    }
+    acting_ = false;
+    if (const auto end = std::exchange(actions_.end, std::nullopt))
+        finish(*end);
+    else if (!request_.ended())
+        owner_->loop_->arm(timer_, request_.next_wakeup());
+}
+
+std::string exchange::bytes_for(const replica& target) const
+{
+    const auto left = std::max(
+        std::chrono::duration_cast<milliseconds>(
+            upstream_deadline_ - owner_->loop_->now()),
+        milliseconds{1});
+    std::string bytes;
+    bytes.reserve(head_.size() + body_.size() + 128);
+    bytes += head_;
+    add_field(bytes, owner_->names_->time_left, std::to_string(left.count()));
+    add_field(bytes, owner_->names_->expected_id, target.published.id);
+    if (has_length_)
+        add_field(bytes, "Content-Length", std::to_string(body_.size()));
+    bytes += "\r\n";
+    bytes += body_;
+    return bytes;
+}
+
+void exchange::send(const forward_send& wanted)
+{
+    const auto& target = owner_->catalog_.at(wanted.to);
+    upstream_request request;
+    request.owner = this;
+    request.attempt = wanted.attempt;
+    request.bytes = bytes_for(target);
+    request.request_id = request_id_;
+    request.give_up_at = upstream_deadline_ + late_answer_time;
+    request.bodiless = bodiless_;
+    request.fresh = request_.route().repeat == repeat_rule::at_most_once;
+    const auto& service = *std::find_if(
+        request_.config()->services.begin(),
+        request_.config()->services.end(),
+        [&](const auto& entry) {
+            return entry.name == target.published.service;
+        });
+    if (!owner_->pool_.send(
+            wanted.to, std::move(request), owner_->links_to(service)))
+        unsendable_.push_back(wanted.attempt);
+    if (wanted.repeat)
+        owner_->numbers_->count("repeats_total");
+}
+
+void exchange::on_attempt_end(
+    std::uint32_t attempt, forward_outcome outcome, response_message* answer)
+{
+    const boost::intrusive_ptr<exchange> keep{this};
+    const auto now = owner_->loop_->now();
+    const auto outcome_name = name_of(outcome);
+    if (outcome != forward_outcome::answered) {
+        owner_->numbers_->count(
+            "attempt_failures_total{outcome=\"" + std::string{outcome_name} +
+            "\"}");
+        owner_->log_->write(
+            now,
+            event_rank::notable,
+            "attempt_failed",
+            {{"request", request_id_},
+             {"route", request_.route().name},
+             {"replica",
+              owner_->catalog_.at(request_.replica_of(attempt)).published.id},
+             {"outcome", outcome_name},
+             {"status", answer != nullptr ? answer->status : 0},
+             {"age", now - request_.times().arrived}});
+    }
+    const bool used = request_.on_result(
+        attempt, outcome, owner_->tools(), *profile_, now, actions_);
+    if (used && answer != nullptr)
+        keep_part(attempt, *answer);
+    else if (
+        outcome == forward_outcome::failed && answer != nullptr &&
+        answer->fields.find(owner_->names_->signature) &&
+        (answer->status < 200 || answer->status >= 300)) {
+        failure_.known = true;
+        failure_.head = head_of(*answer);
+        failure_.body = std::move(answer->body);
+    }
+    act();
+}
+
+std::string exchange::head_of(const response_message& answer) const
+{
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    head += answer.reason;
+    head += "\r\n";
+    const auto connection = answer.fields.find("Connection").value_or("");
+    for (std::size_t i = 0; i < answer.fields.size(); ++i) {
+        const auto field = answer.fields.at(i);
+        if (!hop_by_hop(field.name, connection))
+            add_field(head, field.name, field.value);
+    }
+    return head;
+}
+
+void exchange::keep_part(std::uint32_t attempt, response_message& answer)
+{
+    const auto part = request_.part_of(attempt);
+    bodies_[part] = std::move(answer.body);
+    signatures_[part] =
+        answer.fields.find(owner_->names_->signature).value_or("");
+    if (!request_.route().scatters())
+        answer_head_ = head_of(answer);
+}
+
+void exchange::finish(forward_end end)
+{
+    reactor::disarm(timer_);
+    --owner_->open_;
+    log_end(end);
+    if (session_ == nullptr)
+        return;
+    const bool success =
+        end == forward_end::complete || end == forward_end::partial;
+    auto* const session = std::exchange(session_, nullptr);
+    const boost::intrusive_ptr<http_session> keep{session};
+    if (!success)
+        answer_failure(*session, end);
+    else if (request_.route().scatters())
+        answer_parts(*session);
+    else
+        session->respond(answer_head_, bodies_.front());
+}
+
+void exchange::answer_parts(http_session& session)
+{
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    add_field(head, owner_->names_->request_id, request_id_);
+    std::string parts;
+    std::uint32_t included = 0;
+    for (const auto& signature : signatures_) {
+        if (signature.empty())
+            continue;
+        ++included;
+        if (!parts.empty())
+            parts += ", ";
+        parts += signature;
+    }
+    add_field(head, owner_->names_->part_signatures, parts);
+    add_field(
+        head,
+        owner_->names_->parts_missing,
+        std::to_string(request_.part_count() - included));
+    head += "Content-Type: application/octet-stream\r\n";
+    session.respond(
+        head, merge_records(bodies_, request_.route().top_records));
+}
+
+void exchange::answer_failure(http_session& session, forward_end end)
+{
+    const bool pass_on = failure_.known && !request_.route().scatters();
+    if (pass_on) {
+        session.respond(failure_.head, failure_.body);
+        return;
+    }
+    const std::uint32_t status = end == forward_end::not_run     ? 503
+                                 : end == forward_end::timed_out ? 504
+                                                                 : 502;
+    owner_->refuse(
+        session,
+        status,
+        name_of(end),
+        end == forward_end::not_run ? forwarder::retry_after_full
+                                    : milliseconds{});
+}
+
+void exchange::log_end(forward_end end) const
+{
+    const auto now = owner_->loop_->now();
+    const auto took = now - request_.times().arrived;
+    owner_->numbers_->request(request_.route().name, name_of(end), took);
+    const bool usual = end == forward_end::complete &&
+                       now <= request_.times().worth_until;
+    if (usual && !owner_->log_->wants_routine(now))
+        return;
+    owner_->log_->write(
+        now,
+        usual ? event_rank::routine : event_rank::notable,
+        "request_end",
+        {{"request", request_id_},
+         {"route", request_.route().name},
+         {"outcome", name_of(end)},
+         {"took", took},
+         {"parts", request_.part_count()},
+         {"in", request_.parts_in()},
+         {"attempts", request_.attempts()},
+         {"repeats", request_.repeats()},
+         {"config", request_.config()->version},
+         {"caller_left", session_ == nullptr ? 1 : 0}});
+}
+
+void exchange::abandon()
+{
+    const boost::intrusive_ptr<exchange> keep{this};
+    session_ = nullptr;
+    if (request_.ended())
+        return;
+    request_.abandon();
+    reactor::disarm(timer_);
+    --owner_->open_;
+    owner_->numbers_->request(
+        request_.route().name,
+        "caller_left",
+        owner_->loop_->now() - request_.times().arrived);
+    for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
+        if (request_.open(i))
+            owner_->catalog_.at(request_.replica_of(i))
+                .health.on_withdrawn();
+    }
+    owner_->pool_.abort_all(*this);
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/src/gateway.cpp
@@ -0,0 +1,370 @@
+#include <peridotward/gateway/gateway.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotward {
+
+namespace {
+
+/// Between two looks at connections and replicas that are due.
+constexpr milliseconds check_interval{100};
+/// From the stop signal to the end of idle connections: callers have a new
+/// directory answer by then.
+constexpr milliseconds idle_close_wait{3300};
+/// Kept of the grace time for the end of the process.
+constexpr milliseconds exit_reserve{400};
+/// Shortest wait after idle connections were closed.
+constexpr milliseconds exit_wait{300};
+
+} // namespace
+
+/// Answers "is this instance ready".
+class ready_port final : public http_handler
+{
+public:
+    ready_port(const gateway& owner, const directory_codec& codec)
+        : owner_{&owner}, codec_{&codec}
+    {}
+
+    void on_request(http_session& session) override
+    {
+        const std::string_view target{session.request().target};
+        if (!codec_->asks_ready(target.substr(0, target.find('?'))))
+            session.respond(404, "text/plain", "unknown path");
+        else if (owner_->ready())
+            session.respond(200, "text/plain", "ready");
+        else
+            session.respond(503, "text/plain", "not ready");
+    }
+    [[nodiscard]] caller_limits limits() const override { return {}; }
+
+private:
+    const gateway* owner_;
+    const directory_codec* codec_;
+};
+
+/// Answers which instances callers may use.
+class directory_port final : public http_handler
+{
+public:
+    directory_port(
+        const gateway& owner,
+        const directory_codec& codec,
+        const peer_gossip& peers,
+        const gateway_settings& settings,
+        counters& numbers)
+        : owner_{&owner}, codec_{&codec}, peers_{&peers},
+          settings_{&settings}, numbers_{&numbers}
+    {}
+
+    void on_request(http_session& session) override
+    {
+        const std::string_view target{session.request().target};
+        if (!codec_->asks(target.substr(0, target.find('?')))) {
+            session.respond(404, "text/plain", "unknown path");
+            return;
+        }
+        numbers_->count("directory_questions_total");
+        auto named = peers_->serving();
+        if (owner_->ready())
+            named.push_back(settings_->listen.callers);
+        if (named.empty()) {
+            session.respond(503, "text/plain", "no instance is ready");
+            return;
+        }
+        if (named.size() > gateway::most_named)
+            named.resize(gateway::most_named);
+        session.respond(
+            200,
+            "application/json",
+            codec_->answer(named, settings_->directory_ttl));
+    }
+    [[nodiscard]] caller_limits limits() const override { return {}; }
+
+private:
+    const gateway* owner_;
+    const directory_codec* codec_;
+    const peer_gossip* peers_;
+    const gateway_settings* settings_;
+    counters* numbers_;
+};
+
+/// Serves operators: state and metrics.
+class control_port final : public http_handler
+{
+public:
+    control_port(
+        forwarder& forwarding,
+        const peer_gossip& peers,
+        const event_log& log,
+        const counters& numbers,
+        const reactor& loop)
+        : forwarding_{&forwarding}, peers_{&peers}, log_{&log},
+          numbers_{&numbers}, loop_{&loop}
+    {}
+
+    void on_request(http_session& session) override
+    {
+        const auto& target = session.request().target;
+        if (target == "/metrics")
+            session.respond(200, "text/plain; version=0.0.4", metrics());
+        else if (target == "/state")
+            session.respond(200, "application/json", state().dump(1));
+        else
+            session.respond(404, "text/plain", "unknown path");
+    }
+    [[nodiscard]] caller_limits limits() const override { return {}; }
+
+private:
+    [[nodiscard]] std::string metrics() const;
+    [[nodiscard]] json state() const;
+
+    forwarder* forwarding_;
+    const peer_gossip* peers_;
+    const event_log* log_;
+    const counters* numbers_;
+    const reactor* loop_;
+};
+
+std::string control_port::metrics() const
+{
+    auto text = numbers_->render();
+    const auto gauge = [&](std::string_view name, std::uint64_t value) {
+        text += "peridotward_";
+        text += name;
+        text += " " + std::to_string(value) + "\n";
+    };
+    const auto& config = forwarding_->config();
+    gauge("config_version", config ? config->version : 0);
+    gauge("open_requests", forwarding_->open_requests());
+    gauge("members", peers_->running().size() + 1);
+    gauge("bad_peer_frames_total", peers_->bad_frames());
+    gauge("upstream_connections", forwarding_->pool().connections());
+    gauge("upstream_connections_opened_total", forwarding_->pool().opened());
+    gauge("log_lines_dropped_total", log_->dropped());
+    std::uint64_t cold = 0;
+    const auto live = forwarding_->catalog().live();
+    for (const auto number : live)
+        cold += forwarding_->catalog().at(number).cold(loop_->now()) ? 1 : 0;
+    gauge("replicas", live.size());
+    gauge("replicas_cold", cold);
+    return text;
+}
+
+json control_port::state() const
+{
+    const auto now = loop_->now();
+    json dump;
+    const auto& config = forwarding_->config();
+    dump["config_version"] = config ? config->version : 0;
+    auto& replicas = dump["replicas"] = json::array();
+    auto& catalog = forwarding_->catalog();
+    for (const auto number : catalog.live()) {
+        const auto& known = catalog.at(number);
+        const auto standing = catalog.standing(known);
+        replicas.push_back(
+            {{"id", known.published.id},
+             {"service", known.published.service},
+             {"address", known.published.address.text()},
+             {"domain", known.published.domain},
+             {"standing",
+              standing == replica_standing::serving  ? "serving"
+              : standing == replica_standing::fading ? "fading"
+                                                     : "barred"},
+             {"cold", known.cold(now)},
+             {"slowness", known.health.slowness(now)},
+             {"failure_share", known.health.failure_share(now)},
+             {"shed_share", known.health.shed_share(now)},
+             {"in_flight", known.health.in_flight()},
+             {"unreachable", known.health.unreachable(now)}});
+    }
+    dump["barred_domains"] = catalog.barred_domains();
+    auto& members = dump["members"] = json::array();
+    for (const auto& [id, known] : peers_->members().members())
+        members.push_back(
+            {{"id", id},
+             {"state", name_of(known.belief.state)},
+             {"ready", known.belief.ready}});
+    return dump;
+}
+
+struct gateway::parts
+{
+    parts(
+        gateway& owner,
+        reactor& shared_loop,
+        event_log& shared_log,
+        gateway_settings given,
+        protocol_names given_names,
+        const directory_codec& codec,
+        std::uint64_t seed,
+        incarnation_number incarnation)
+        : loop{&shared_loop}, log{&shared_log}, settings{std::move(given)},
+          names{std::move(given_names)},
+          forwarding{shared_loop, shared_log, numbers, settings, names, seed},
+          peers{shared_loop, shared_log, settings, seed + 1, incarnation},
+          ready{owner, codec},
+          directory{owner, codec, peers, settings, numbers},
+          control{forwarding, peers, shared_log, numbers, shared_loop},
+          callers_listener{shared_loop, forwarding},
+          ready_listener{shared_loop, ready},
+          directory_listener{shared_loop, directory},
+          control_listener{shared_loop, control}, timer{[this] { check(); }}
+    {}
+
+    void check();
+    void check_stop(time_point now);
+    void members_changed();
+
+    reactor* loop;
+    event_log* log;
+    gateway_settings settings;
+    protocol_names names;
+    counters numbers;
+    forwarder forwarding;
+    peer_gossip peers;
+    ready_port ready;
+    directory_port directory;
+    control_port control;
+    http_listener callers_listener;
+    http_listener ready_listener;
+    http_listener directory_listener;
+    http_listener control_listener;
+    reactor_timer timer;
+    bool known = false;
+    std::optional<time_point> stopping;
+    std::optional<time_point> idle_closed;
+};
+
+void gateway::parts::members_changed()
+{
+    fleet_view seen;
+    seen.others = peers.running();
+    log->write(
+        loop->now(),
+        event_rank::notable,
+        "members_changed",
+        {{"running", seen.others.size() + 1},
+         {"serving", peers.serving().size()}});
+    forwarding.fleet(std::move(seen));
+}
+
+void gateway::parts::check()
+{
+    const auto now = loop->now();
+    forwarding.check(now);
+    callers_listener.check(now);
+    ready_listener.check(now);
+    directory_listener.check(now);
+    control_listener.check(now);
+    check_stop(now);
+    log->flush();
+    loop->arm(timer, now + check_interval);
+}
+
+void gateway::parts::check_stop(time_point now)
+{
+    if (!stopping)
+        return;
+    const auto passed = now - *stopping;
+    if (passed >= idle_close_wait) {
+        if (!idle_closed) {
+            idle_closed = now;
+            callers_listener.close();
+        }
+        callers_listener.close_idle();
+    }
+    const bool served = idle_closed && now - *idle_closed >= exit_wait &&
+                        callers_listener.busy() == 0;
+    if (served || passed >= settings.grace - exit_reserve) {
+        log->write(
+            now,
+            event_rank::notable,
+            "stopped",
+            {{"after", passed}, {"open", callers_listener.busy()}});
+        loop->stop();
+    }
+}
+
+gateway::gateway(
+    reactor& loop,
+    event_log& log,
+    gateway_settings settings,
+    protocol_names names,
+    const directory_codec& codec,
+    std::uint64_t seed,
+    incarnation_number incarnation)
+    : parts_{std::make_unique<parts>(
+          *this,
+          loop,
+          log,
+          std::move(settings),
+          std::move(names),
+          codec,
+          seed,
+          incarnation)}
+{}
+
+gateway::~gateway() = default;
+
+result<void> gateway::start()
+{
+    auto& all = *parts_;
+    const auto& listen = all.settings.listen;
+    all.log->write(
+        all.loop->now(),
+        event_rank::notable,
+        "started",
+        {{"callers", listen.callers.text()},
+         {"domain", all.settings.domain},
+         {"store", all.settings.store.text()}});
+    all.peers.changed = [this] { parts_->members_changed(); };
+    return all.callers_listener.open(listen.callers)
+        .and_then([&] { return all.ready_listener.open(listen.ready); })
+        .and_then([&] { return all.directory_listener.open(listen.directory); })
+        .and_then([&] { return all.control_listener.open(listen.control); })
+        .and_then([&] { return all.peers.start(); })
+        .map([&] { all.check(); });
+}
+
+void gateway::stop()
+{
+    auto& all = *parts_;
+    if (all.stopping)
+        return;
+    all.stopping = all.loop->now();
+    all.log->write(
+        all.loop->now(),
+        event_rank::notable,
+        "stopping",
+        {{"open", all.forwarding.open_requests()}});
+    all.forwarding.begin_closing();
+    all.peers.leave();
+}
+
+void gateway::upstreams_known()
+{
+    if (std::exchange(parts_->known, true))
+        return;
+    parts_->log->write(parts_->loop->now(), event_rank::notable, "ready", {});
+    if (!parts_->stopping)
+        parts_->peers.set_ready(true);
+}
+
+bool gateway::ready() const
+{
+    return parts_->known && !parts_->stopping;
+}
+
+forwarder& gateway::forwarding() noexcept
+{
+    return parts_->forwarding;
+}
+
+counters& gateway::numbers() noexcept
+{
+    return parts_->numbers;
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/src/peer_gossip.cpp
@@ -0,0 +1,199 @@
+#include <peridotward/gateway/peer_gossip.hpp>
+
+#include <peridotward/wire/codec.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+#include <variant>
+
+namespace peridotward {
+
+namespace {
+
+constexpr std::size_t max_datagram_bytes = 16384;
+
+/// Slower than the defaults: instances share small machines, and callers
+/// bear a wrong address for a while. A silent instance is not named to
+/// callers after 1.1 s and counts as dead after 2.6 s.
+constexpr fleet_timing gossip_timing()
+{
+    fleet_timing timing;
+    timing.probe_interval = milliseconds{500};
+    timing.probe_timeout = milliseconds{250};
+    timing.probe_limit = milliseconds{600};
+    timing.suspicion_time = milliseconds{1500};
+    timing.pause_limit = milliseconds{3000};
+    return timing;
+}
+
+member_update self_of(
+    const gateway_settings& settings, incarnation_number incarnation)
+{
+    member_update self;
+    self.id = settings.listen.peers.text();
+    self.incarnation = incarnation;
+    self.domain = settings.domain;
+    self.peers = settings.listen.peers;
+    self.callers = settings.listen.callers;
+    return self;
+}
+
+instance_list list_of(const std::vector<endpoint>& seeds)
+{
+    instance_list list;
+    for (const auto& seed : seeds) {
+        listed_instance listed;
+        listed.id = seed.text();
+        listed.peers = seed;
+        list.instances.push_back(std::move(listed));
+    }
+    return list;
+}
+
+} // namespace
+
+peer_gossip::peer_gossip(
+    reactor& loop,
+    event_log& log,
+    const gateway_settings& settings,
+    std::uint64_t seed,
+    incarnation_number incarnation)
+    : loop_{&loop}, log_{&log}, settings_{&settings},
+      members_{self_of(settings, incarnation), seed, gossip_timing()},
+      timer_{[this] { on_time(); }}
+{}
+
+peer_gossip::~peer_gossip()
+{
+    if (socket_)
+        loop_->remove(socket_.descriptor(), *this);
+}
+
+result<void> peer_gossip::start()
+{
+    auto bound = bind_udp(settings_->listen.peers);
+    if (!bound)
+        return tl::unexpected{bound.error()};
+    socket_ = std::move(*bound);
+    loop_->add(socket_.descriptor(), EPOLLIN, *this);
+    members_.on_list(list_of(settings_->seeds), loop_->now());
+    on_time();
+    return {};
+}
+
+void peer_gossip::set_ready(bool ready)
+{
+    members_.set_ready(ready, loop_->now());
+    announce();
+}
+
+void peer_gossip::leave()
+{
+    members_.leave(loop_->now(), out_);
+    dispatch();
+}
+
+void peer_gossip::on_time()
+{
+    members_.on_time(loop_->now(), out_);
+    dispatch();
+}
+
+void peer_gossip::dispatch()
+{
+    // A message to a peer may be lost on the way as well, so one that cannot
+    // be sent is not worth a line.
+    for (const auto& message : std::exchange(out_, {})) {
+        const auto target = parse_endpoint(message.to);
+        if (!target)
+            continue;
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(target->port);
+        ::inet_pton(AF_INET, target->host.c_str(), &address.sin_addr);
+        const auto frame = encode(message.message);
+        (void)::sendto(
+            socket_.descriptor(),
+            frame.data(),
+            frame.size(),
+            MSG_NOSIGNAL,
+            reinterpret_cast<const sockaddr*>(&address),
+            sizeof address);
+    }
+    loop_->arm(timer_, members_.next_wakeup());
+    announce();
+}
+
+void peer_gossip::on_events(std::uint32_t)
+{
+    std::array<char, max_datagram_bytes> buffer;
+    sockaddr_in source{};
+    socklen_t length = sizeof source;
+    const auto got = ::recvfrom(
+        socket_.descriptor(),
+        buffer.data(),
+        buffer.size(),
+        0,
+        reinterpret_cast<sockaddr*>(&source),
+        &length);
+    if (got <= 0)
+        return;
+    std::array<char, INET_ADDRSTRLEN> host{};
+    ::inet_ntop(AF_INET, &source.sin_addr, host.data(), host.size());
+    const auto from =
+        endpoint{host.data(), ntohs(source.sin_port)}.text();
+    const auto message =
+        decode({buffer.data(), static_cast<std::size_t>(got)});
+    if (!message) {
+        ++bad_frames_;
+        return;
+    }
+    const auto now = loop_->now();
+    if (const auto* asked = std::get_if<probe>(&*message))
+        members_.on_message(from, *asked, now, out_);
+    else if (const auto* answered = std::get_if<probe_ack>(&*message))
+        members_.on_message(from, *answered, now, out_);
+    else if (const auto* relay = std::get_if<probe_request>(&*message))
+        members_.on_message(from, *relay, now, out_);
+    else
+        ++bad_frames_;
+    if (members_.superseded())
+        members_.outlive();
+    dispatch();
+}
+
+void peer_gossip::announce()
+{
+    if (members_.revision() == told_revision_)
+        return;
+    told_revision_ = members_.revision();
+    if (changed)
+        changed();
+}
+
+std::vector<endpoint> peer_gossip::serving() const
+{
+    std::vector<endpoint> found;
+    for (const auto& [id, known] : members_.members()) {
+        if (members_.serves(id))
+            found.push_back(known.belief.callers);
+    }
+    return found;
+}
+
+std::vector<std::string> peer_gossip::running() const
+{
+    std::vector<std::string> found;
+    for (const auto& [id, known] : members_.members()) {
+        if (known.belief.state != member_state::dead)
+            found.push_back(id);
+    }
+    return found;
+}
+
+} // namespace peridotward
