--- a/core/include/peridotward/core/budgets/retry_ledger.hpp
+++ b/core/include/peridotward/core/budgets/retry_ledger.hpp
@@ -16,6 +16,12 @@
 public:
     explicit retry_ledger(retry_bounds bounds) : bounds_{bounds} {}
 
+    /// \brief Says when this process began to send.
+    ///
+    /// \remarks Until a window has passed only the ratio is spent: an earlier
+    /// life on the same machine may have spent its part of the extra.
+    void started(time_point at) noexcept { extra_from_ = at + bounds_.window; }
+
     /// \brief Says how many instances may spend from the same extra.
     ///
     /// \remarks Only ever raised: an instance that is not heard of may be
@@ -31,7 +37,7 @@
     }
     [[nodiscard]] bool take(const std::string& service, time_point now)
     {
-        return windows_[service].take(bounds_, instances_, now);
+        return windows_[service].take(bounds_at(now), instances_, now);
     }
     void give_back(const std::string& service)
     {
@@ -39,12 +45,21 @@
     }
     [[nodiscard]] double left(const std::string& service, time_point now)
     {
-        return windows_[service].left(bounds_, instances_, now);
+        return windows_[service].left(bounds_at(now), instances_, now);
     }
 
 private:
+    [[nodiscard]] retry_bounds bounds_at(time_point now) const noexcept
+    {
+        auto bounds = bounds_;
+        if (now < extra_from_)
+            bounds.extra = 0;
+        return bounds;
+    }
+
     retry_bounds bounds_;
     std::uint32_t instances_ = 1;
+    time_point extra_from_;
     std::unordered_map<std::string, retry_window> windows_;
 };
 
--- /dev/null
+++ b/core/include/peridotward/core/discovery/feed_plan.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <peridotward/core/membership.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace peridotward {
+
+/// \brief Who reads the store, and whom the others ask.
+///
+/// \remarks Reads of the store are priced and their rate grows more slowly
+/// than the fleet, so in a large fleet a few instances read and pass on what
+/// changed. Chosen by rendezvous hashing over the live members, one for each
+/// failure domain first: views that differ for a moment only cost calls.
+struct feed_plan
+{
+    /// Fleets up to this size read the store themselves.
+    static constexpr std::size_t small_fleet = 12;
+    /// Readers of a larger fleet; one may fail and one be slow.
+    static constexpr std::size_t readers_wanted = 3;
+
+    bool reads_store = true;
+    /// Seats of the readers in the order in which this instance asks them:
+    /// the own failure domain first.
+    std::vector<std::string> readers;
+};
+
+/// \returns The plan of the instance that `seen` belongs to.
+[[nodiscard]] feed_plan plan_feed(const membership& seen);
+
+} // namespace peridotward
--- a/gateway/include/peridotward/gateway/gateway.hpp
+++ b/gateway/include/peridotward/gateway/gateway.hpp
@@ -54,7 +54,12 @@
     /// \returns Whether callers are served.
     [[nodiscard]] bool ready() const;
 
+    /// \brief Lets `handler` answer the control paths that are not known here.
+    void extend_control(http_handler& handler);
+
     [[nodiscard]] forwarder& forwarding() noexcept;
+    [[nodiscard]] const peer_gossip& peers() const noexcept;
+    [[nodiscard]] const gateway_settings& settings() const noexcept;
     [[nodiscard]] counters& numbers() noexcept;
 
 private:
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -71,6 +71,7 @@
       repeats_{settings.repeats}, pool_{loop, catalog_, names}
 {
     fleet_.self = settings.listen.peers.text();
+    repeats_.started(loop.now());
 }
 
 forwarder::~forwarder() = default;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -111,11 +111,20 @@
             session.respond(200, "text/plain; version=0.0.4", metrics());
         else if (target == "/state")
             session.respond(200, "application/json", state().dump(1));
+        else if (extension_ != nullptr)
+            extension_->on_request(session);
         else
             session.respond(404, "text/plain", "unknown path");
     }
+    void on_caller_left(http_session& session) override
+    {
+        if (extension_ != nullptr)
+            extension_->on_caller_left(session);
+    }
     [[nodiscard]] caller_limits limits() const override { return {}; }
 
+    void extend(http_handler& handler) noexcept { extension_ = &handler; }
+
 private:
     [[nodiscard]] std::string metrics() const;
     [[nodiscard]] json state() const;
@@ -125,6 +134,7 @@
     const event_log* log_;
     const counters* numbers_;
     const reactor* loop_;
+    http_handler* extension_ = nullptr;
 };
 
 std::string control_port::metrics() const
@@ -357,6 +367,21 @@
     return parts_->known && !parts_->stopping;
 }
 
+void gateway::extend_control(http_handler& handler)
+{
+    parts_->control.extend(handler);
+}
+
+const peer_gossip& gateway::peers() const noexcept
+{
+    return parts_->peers;
+}
+
+const gateway_settings& gateway::settings() const noexcept
+{
+    return parts_->settings;
+}
+
 forwarder& gateway::forwarding() noexcept
 {
     return parts_->forwarding;
