Time of a caller counts from its first attempt; round trip as measured

Cause: answers left at the edge of the aim: callers of pwani are 6.4 ms away, others 2 ms, and the margin was one constant; retries were taken for first attempts. A scatter could be refused as not run with parts still open. Change: caller_patience places a request by the kernel's round trip and by what callers of the route usually state; not_run only when nothing is open; hedges leave a quarter of the repeats to retries.

--- a/core/include/peridotward/core/budgets/retry_ledger.hpp
+++ b/core/include/peridotward/core/budgets/retry_ledger.hpp
@@ -35,9 +35,10 @@
     {
         windows_[service].on_request(bounds_, now);
     }
-    [[nodiscard]] bool take(const std::string& service, time_point now)
+    [[nodiscard]] bool
+    take(const std::string& service, repeat_use use, time_point now)
     {
-        return windows_[service].take(bounds_at(now), instances_, now);
+        return windows_[service].take(bounds_at(now), instances_, use, now);
     }
     void give_back(const std::string& service)
     {
--- a/core/include/peridotward/core/budgets/retry_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_window.hpp
@@ -15,6 +15,13 @@
     duration window = seconds{10};     ///< Any span of this length counts.
 };
 
+/// \brief What a repeat is for.
+enum class repeat_use : std::uint8_t
+{
+    retry, ///< The attempt before has failed; without it the part is lost.
+    hedge, ///< The attempt before is slow.
+};
+
 /// \brief One instance's allowance of repeats at one service.
 ///
 /// \remarks Keeps the sum over all instances within `retry_bounds` without
@@ -26,6 +33,8 @@
 {
 public:
     static constexpr std::size_t slices = 10;
+    /// Share of the allowance that hedges leave to retries.
+    static constexpr double retry_reserve = 0.25;
 
     /// \brief Counts a request of a caller for the service.
     void on_request(const retry_bounds& bounds, time_point now) noexcept;
@@ -35,12 +44,13 @@
     [[nodiscard]] bool take(
         const retry_bounds& bounds,
         std::uint32_t instances,
+        repeat_use use,
         time_point now) noexcept;
 
     /// \brief Gives back a repeat that was not sent.
     void give_back() noexcept;
 
-    /// \returns The repeats that may be sent now.
+    /// \returns The retries that may be sent now.
     [[nodiscard]] double
     left(const retry_bounds& bounds, std::uint32_t instances, time_point now)
         noexcept;
@@ -52,6 +62,15 @@
         std::uint32_t repeats = 0;
     };
 
+    struct totals
+    {
+        double allowed = 0;
+        double spent = 0;
+    };
+
+    [[nodiscard]] totals
+    count(const retry_bounds& bounds, std::uint32_t instances, time_point now)
+        noexcept;
     void advance(const retry_bounds& bounds, time_point now) noexcept;
 
     /// The window, the slice that is filling, and one more for repeats.
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/base/names.hpp>
 #include <peridotward/core/budgets/retry_ledger.hpp>
 #include <peridotward/core/gather/latency_profile.hpp>
+#include <peridotward/core/gather/request_times.hpp>
 #include <peridotward/core/placement/replica_choice.hpp>
 
 #include <cstdint>
@@ -92,16 +93,6 @@
     const fleet_view* fleet = nullptr;
 };
 
-/// \brief Times of one request.
-struct forward_times
-{
-    time_point arrived;
-    /// Until then an answer has its full value for the caller.
-    time_point worth_until;
-    /// A final answer must leave by then.
-    time_point final_by;
-};
-
 /// \brief The state of one forwarded request: a part for each shard, or one
 /// part for a plain route.
 ///
@@ -244,6 +235,7 @@
     void finish(forward_end end, forward_actions& out);
     [[nodiscard]] forward_end failure() const noexcept;
 
+
     forward_config_ptr config_;
     const forward_route* route_;
     forward_times times_;
--- a/core/src/budgets/retry_window.cpp
+++ b/core/src/budgets/retry_window.cpp
@@ -28,7 +28,7 @@
     ++ring_.at(head_).requests;
 }
 
-double retry_window::left(
+retry_window::totals retry_window::count(
     const retry_bounds& bounds, std::uint32_t instances, time_point now) noexcept
 {
     advance(bounds, now);
@@ -41,14 +41,28 @@
         if (age < slices)
             requests += past.requests;
     }
-    return bounds.ratio * requests +
-           bounds.extra / std::max<std::uint32_t>(instances, 1) - repeats;
+    const double extra =
+        bounds.extra / std::max<std::uint32_t>(instances, 1);
+    return {bounds.ratio * requests + extra, repeats};
 }
 
-bool retry_window::take(
+double retry_window::left(
     const retry_bounds& bounds, std::uint32_t instances, time_point now) noexcept
 {
-    if (left(bounds, instances, now) < 1)
+    const auto sums = count(bounds, instances, now);
+    return sums.allowed - sums.spent;
+}
+
+bool retry_window::take(
+    const retry_bounds& bounds,
+    std::uint32_t instances,
+    repeat_use use,
+    time_point now) noexcept
+{
+    const auto sums = count(bounds, instances, now);
+    const double kept =
+        use == repeat_use::hedge ? retry_reserve * sums.allowed : 0;
+    if (sums.allowed - kept - sums.spent < 1)
         return false;
     ++ring_.at(head_).repeats;
     return true;
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -23,6 +23,7 @@
     forward_times times)
     : config_{std::move(config)}, route_{&route}, times_{times}
 {
+    worth_passed_ = times.worth_until <= times.arrived;
     parts_.resize(services.size());
     for (std::size_t i = 0; i < services.size(); ++i)
         parts_[i].service = services[i];
@@ -46,7 +47,13 @@
 
 forward_end forwarded_request::failure() const noexcept
 {
-    return may_have_run_ ? forward_end::failed : forward_end::not_run;
+    // A part that is still open may run yet.
+    const bool may_run =
+        may_have_run_ ||
+        std::any_of(attempts_.begin(), attempts_.end(), [](const auto& sent) {
+            return sent.open;
+        });
+    return may_run ? forward_end::failed : forward_end::not_run;
 }
 
 void forwarded_request::finish(forward_end end, forward_actions& out)
@@ -80,7 +87,8 @@
     if (!chosen)
         return false;
     const bool repeat = wanted.arrivals > 0;
-    if (repeat && !tools.repeats->take(service.name, now))
+    const auto use = wanted.open > 0 ? repeat_use::hedge : repeat_use::retry;
+    if (repeat && !tools.repeats->take(service.name, use, now))
         return false;
     wanted.tried.push_back(*chosen);
     ++wanted.open;
@@ -226,8 +234,8 @@
 
 time_point forwarded_request::late_until() const noexcept
 {
-    const auto had = times_.worth_until - times_.arrived;
-    return times_.worth_until + had / late_wait_divisor;
+    const auto late_from = std::max(times_.worth_until, times_.arrived);
+    return late_from + route_->target_latency / late_wait_divisor;
 }
 
 bool forwarded_request::due_partial(time_point now) const noexcept
@@ -253,7 +261,7 @@
         finish(forward_end::partial, out);
     else if (now >= times_.final_by)
         finish(forward_end::timed_out, out);
-    worth_passed_ = now >= times_.worth_until;
+    worth_passed_ = worth_passed_ || now >= times_.worth_until;
     late_passed_ = now >= late_until();
 }
 
--- a/core/tests/forward_budgets_test.cpp
+++ b/core/tests/forward_budgets_test.cpp
@@ -69,7 +69,7 @@
             judge.request(now);
             // A burst of failures wants far more than there is.
             for (std::uint64_t wanted = random.below(4); wanted > 0; --wanted)
-                if (ledger.take("s", now))
+                if (ledger.take("s", repeat_use::retry, now))
                     judge.repeat(now);
         }
         RC_ASSERT(judge.worst_excess() <= 0);
@@ -84,21 +84,35 @@
     retry_ledger ledger{bounds};
     ledger.instances(8);
     ledger.started(start);
-    CHECK_FALSE(ledger.take("s", start + seconds{1}));
+    CHECK_FALSE(ledger.take("s", repeat_use::retry, start + seconds{1}));
     for (int i = 0; i < 10; ++i)
         ledger.on_request("s", start + seconds{1});
-    CHECK(ledger.take("s", start + seconds{1}));
-    CHECK(ledger.take("s", start + seconds{12}));
+    CHECK(ledger.take("s", repeat_use::retry, start + seconds{1}));
+    CHECK(ledger.take("s", repeat_use::retry, start + seconds{12}));
+}
+
+TEST_CASE("retry window: hedges leave a reserve to retries", "[budgets]")
+{
+    retry_ledger ledger{{0, 20, seconds{10}}};
+    ledger.started(start - seconds{60});
+    int hedges = 0;
+    while (ledger.take("s", repeat_use::hedge, start))
+        ++hedges;
+    CHECK(hedges == 15);
+    int retries = 0;
+    while (ledger.take("s", repeat_use::retry, start))
+        ++retries;
+    CHECK(retries == 5);
 }
 
 TEST_CASE("retry window: what was not sent is given back", "[budgets]")
 {
     retry_ledger ledger{{0, 1, seconds{10}}};
     ledger.started(start - seconds{60});
-    CHECK(ledger.take("s", start));
-    CHECK_FALSE(ledger.take("s", start));
+    CHECK(ledger.take("s", repeat_use::retry, start));
+    CHECK_FALSE(ledger.take("s", repeat_use::retry, start));
     ledger.give_back("s");
-    CHECK(ledger.take("s", start));
+    CHECK(ledger.take("s", repeat_use::retry, start));
 }
 
 TEST_CASE("retry window: fewer members known later do not raise a share",
@@ -108,8 +122,8 @@
     ledger.started(start - seconds{60});
     ledger.instances(8);
     ledger.instances(1);
-    CHECK(ledger.take("s", start));
-    CHECK_FALSE(ledger.take("s", start));
+    CHECK(ledger.take("s", repeat_use::retry, start));
+    CHECK_FALSE(ledger.take("s", repeat_use::retry, start));
 }
 
 TEST_CASE("cold limit: the fleet's shares add up to the bound", "[budgets]")
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -35,6 +35,7 @@
                 publish(name, name + "-" + std::string(1, char('a' + r)));
         }
         route.name = "r";
+        route.target_latency = milliseconds{100};
         if (shards == 1)
             route.targets = {{0, 1}};
         else
@@ -72,7 +73,10 @@
             config,
             route,
             std::move(services),
-            {start, start + milliseconds{90}, start + milliseconds{580}}};
+            {start,
+             start + milliseconds{90},
+             start + milliseconds{580},
+             start + milliseconds{600}}};
     }
 
     bool result(
@@ -191,6 +195,41 @@
     }
 }
 
+TEST_CASE("forwarding: a refusal is only said when nothing can run",
+    "[forwarding]")
+{
+    forward_world world{3, 1, idempotent(1)};
+    auto request = world.request();
+    request.begin(world.tools(), world.profile, start, world.out);
+
+    SECTION("a part is still open")
+    {
+        world.result(request, 0, forward_outcome::refused, start);
+        CHECK(world.out.end == forward_end::failed);
+    }
+}
+
+TEST_CASE("times: a caller that tried before has less time", "[forwarding]")
+{
+    forward_route route;
+    route.timeout = milliseconds{600};
+    route.target_latency = milliseconds{100};
+    caller_patience patience;
+    caller_clock caller{start, milliseconds{600}, milliseconds{6}, true};
+    const auto first = patience.place(route, caller);
+    CHECK(first.worth_until == start + milliseconds{100 - 6 - 6 - 5});
+    CHECK(first.final_by == start + milliseconds{588});
+
+    caller.time_left = milliseconds{530};
+    caller.connected_for_it = false;
+    const auto second = patience.place(route, caller);
+    CHECK(second.worth_until == start + milliseconds{100 - 70 - 6 - 5});
+    CHECK(second.abandoned_at == start + milliseconds{530});
+
+    caller.time_left = milliseconds{300};
+    CHECK(patience.place(route, caller).worth_until < start);
+}
+
 TEST_CASE("forwarding: what may run once goes on only after a refusal",
     "[forwarding]")
 {
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -85,6 +85,7 @@
     forward_config_ptr config_;
     weighted_turn turns_;
     std::unordered_map<std::string, latency_profile> profiles_;
+    std::unordered_map<std::string, caller_patience> patience_;
     std::size_t open_ = 0;
     bool closing_ = false;
 };
--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -39,8 +39,6 @@
     duration grace = seconds{6};
     /// Longest time for which callers keep a directory answer.
     seconds directory_ttl{1};
-    /// Taken off a caller's time: the way of the answer, and a full queue.
-    duration delivery_margin = milliseconds{12};
 };
 
 /// \returns The settings in `text` (JSON with comments), or `config_invalid`
--- a/gateway/src/exchange.cpp
+++ b/gateway/src/exchange.cpp
@@ -81,12 +81,10 @@
     forwarder& owner,
     http_session& session,
     forwarded_request request,
-    std::string request_id,
-    time_point upstream_deadline)
+    std::string request_id)
     : owner_{&owner}, session_{&session}, request_{std::move(request)},
       profile_{&owner.profiles_[request_.route().name]},
       request_id_{std::move(request_id)},
-      upstream_deadline_{upstream_deadline},
       head_{head_for_upstreams(session.request(), *owner.names_)},
       body_{session.request().body},
       has_length_{session.request().has_length},
@@ -147,7 +145,7 @@
 {
     const auto left = std::max(
         std::chrono::duration_cast<milliseconds>(
-            upstream_deadline_ - owner_->loop_->now()),
+            request_.times().abandoned_at - owner_->loop_->now()),
         milliseconds{1});
     std::string bytes;
     bytes.reserve(head_.size() + body_.size() + 128);
@@ -169,7 +167,7 @@
     request.attempt = wanted.attempt;
     request.bytes = bytes_for(target);
     request.request_id = request_id_;
-    request.give_up_at = upstream_deadline_ + late_answer_time;
+    request.give_up_at = request_.times().abandoned_at + late_answer_time;
     request.bodiless = bodiless_;
     request.fresh = request_.route().repeat == repeat_rule::at_most_once;
     const auto& service = *std::find_if(
--- a/gateway/src/exchange.hpp
+++ b/gateway/src/exchange.hpp
@@ -15,8 +15,7 @@
         forwarder& owner,
         http_session& session,
         forwarded_request request,
-        std::string request_id,
-        time_point upstream_deadline);
+        std::string request_id);
     ~exchange() override;
 
     void begin();
@@ -52,7 +51,6 @@
     forwarded_request request_;
     latency_profile* profile_;
     std::string request_id_;
-    time_point upstream_deadline_;
     std::string head_; ///< Of the requests to replicas, common to all.
     std::string body_;
     bool has_length_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -162,19 +162,14 @@
         refuse(session, 400, "the time left is not a number");
         return;
     }
-    const auto arrived = std::max(
-        session.request_began(), loop_->now() - milliseconds{1000});
-    const auto time = std::min<duration>(
-        route->timeout, stated ? duration{*stated} : route->timeout);
-    const auto margin = std::min<duration>(settings_->delivery_margin, time / 4);
-    forward_times times;
-    times.arrived = arrived;
-    times.worth_until =
-        arrived + std::max<duration>(
-                      route->target_latency - settings_->delivery_margin,
-                      route->target_latency / 2);
-    times.final_by = arrived + time - margin;
-    times.worth_until = std::min(times.worth_until, times.final_by);
+    caller_clock caller;
+    caller.arrived =
+        std::max(session.request_began(), loop_->now() - milliseconds{1000});
+    if (stated)
+        caller.time_left = *stated;
+    caller.round_trip = session.round_trip();
+    caller.connected_for_it = session.first_request();
+    const auto times = patience_[route->name].place(*route, caller);
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
@@ -182,8 +177,7 @@
         *this,
         session,
         forwarded_request{config_, *route, std::move(services), times},
-        std::string{*id},
-        arrived + time}};
+        std::string{*id}}};
     session.state = started;
     started->begin();
 }
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t most_milliseconds = 3'600'000;
 constexpr double most_ratio = 100;
 constexpr double most_repeats = 1e6;
 
@@ -22,11 +21,6 @@
     return *parsed;
 }
 
-milliseconds time_in(object_reader& from, std::string_view key)
-{
-    return milliseconds{from.integer(key, 0, most_milliseconds)};
-}
-
 gateway_listeners listeners_in(object_reader from)
 {
     gateway_listeners read;
@@ -85,8 +79,6 @@
     read_limits(from.object("limits"), read);
     if (from.has("directory_ttl_s"))
         read.directory_ttl = seconds{from.integer("directory_ttl_s", 1, 60)};
-    if (from.has("delivery_margin_ms"))
-        read.delivery_margin = time_in(from, "delivery_margin_ms");
     from.finish();
     return read;
 }
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -1,5 +1,7 @@
 #include <peridotward/gateway/http_session.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -79,7 +81,6 @@
     if (got <= 0) {
         // A caller may only close its own direction once it has its answer,
         // so the end of its direction means that it has left.
-        ended_ = true;
         if (phase_ == phase::answering)
             handler_->on_caller_left(*this);
         close();
@@ -156,6 +157,7 @@
     if (request_.method != "HEAD")
         output_ += body;
     phase_ = phase::reading;
+    first_ = false;
     state.reset();
     flush();
 }
@@ -214,6 +216,20 @@
     watch(EPOLLIN | EPOLLRDHUP);
 }
 
+duration http_session::round_trip()
+{
+    if (round_trip_)
+        return *round_trip_;
+    round_trip_ = duration{};
+    tcp_info told{};
+    socklen_t length = sizeof told;
+    const int asked = ::getsockopt(
+        socket_.descriptor(), IPPROTO_TCP, TCP_INFO, &told, &length);
+    if (asked == 0)
+        round_trip_ = microseconds{told.tcpi_rtt};
+    return *round_trip_;
+}
+
 void http_session::check(time_point now)
 {
     const boost::intrusive_ptr<http_session> keep{this};
