--- a/core/include/peridotward/core/discovery/feed_plan.hpp
+++ b/core/include/peridotward/core/discovery/feed_plan.hpp
@@ -12,8 +12,9 @@
 ///
 /// \remarks Reads of the store are priced and their rate grows more slowly
 /// than the fleet, so in a large fleet a few instances read and pass on what
-/// changed. Chosen by rendezvous hashing over the live members, one for each
-/// failure domain first: views that differ for a moment only cost calls.
+/// changed. The strongest live members are chosen, since a large change goes
+/// to many followers at once; among equals by rendezvous hashing, and one for
+/// each failure domain first. Views that differ for a moment only cost calls.
 struct feed_plan
 {
     /// Fleets up to this size read the store themselves.
--- a/core/src/discovery/feed_plan.cpp
+++ b/core/src/discovery/feed_plan.cpp
@@ -13,23 +13,29 @@
 {
     std::string seat;
     std::string domain;
+    std::uint32_t capacity = 0;
     std::uint64_t weight = 0;
 };
 
 std::vector<candidate> candidates_in(const membership& seen)
 {
     std::vector<candidate> all;
-    const auto add = [&](const std::string& seat, const std::string& domain) {
-        all.push_back({seat, domain, rendezvous_weight("reader", seat)});
+    const auto add = [&](const member_update& told) {
+        all.push_back(
+            {told.id,
+             told.domain,
+             told.capacity,
+             rendezvous_weight("reader", told.id)});
     };
     if (seen.serves(seen.self().id))
-        add(seen.self().id, seen.self().domain);
+        add(seen.self());
     for (const auto& [seat, known] : seen.members()) {
         if (seen.serves(seat))
-            add(seat, known.belief.domain);
+            add(known.belief);
     }
     std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
-        return a.weight > b.weight;
+        return a.capacity != b.capacity ? a.capacity > b.capacity
+                                        : a.weight > b.weight;
     });
     return all;
 }
--- a/gateway/include/peridotward/gateway/reactor.hpp
+++ b/gateway/include/peridotward/gateway/reactor.hpp
@@ -74,6 +74,9 @@
 
     /// \brief Handles events until `stop`.
     void run();
+
+    /// \brief Waits for events once and handles them.
+    void run_once();
     void stop() noexcept { stopped_ = true; }
 
     /// \returns The time when the events at hand were taken.
--- a/gateway/src/reactor.cpp
+++ b/gateway/src/reactor.cpp
@@ -119,23 +119,26 @@
 }
 
 void reactor::run()
+{
+    while (!stopped_)
+        run_once();
+}
+
+void reactor::run_once()
 {
     std::array<epoll_event, events_at_once> events{};
-    while (!stopped_) {
-        const int count = ::epoll_wait(
-            epoll_, events.data(), events_at_once, wait_milliseconds());
-        refresh();
-        taken_.clear();
-        for (int i = 0; i < count; ++i)
-            taken_.push_back(
-                static_cast<io_handler*>(events.at(i).data.ptr));
-        for (int i = 0; i < count; ++i) {
-            if (auto* handler = taken_[i])
-                handler->on_events(events.at(i).events);
-        }
-        run_timers();
-        run_deferred();
+    const int count = ::epoll_wait(
+        epoll_, events.data(), events_at_once, wait_milliseconds());
+    refresh();
+    taken_.clear();
+    for (int i = 0; i < count; ++i)
+        taken_.push_back(static_cast<io_handler*>(events.at(i).data.ptr));
+    for (int i = 0; i < count; ++i) {
+        if (auto* handler = taken_[i])
+            handler->on_events(events.at(i).events);
     }
+    run_timers();
+    run_deferred();
 }
 
 } // namespace peridotward
--- /dev/null
+++ b/gateway/tests/event_log_test.cpp
@@ -0,0 +1,91 @@
+#include <peridotward/gateway/event_log.hpp>
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace peridotward;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours{1}};
+
+struct log_pipe
+{
+    std::array<int, 2> ends{};
+
+    log_pipe() { REQUIRE(::pipe(ends.data()) == 0); }
+    log_pipe(const log_pipe&) = delete;
+    log_pipe& operator=(const log_pipe&) = delete;
+    ~log_pipe()
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    [[nodiscard]] std::string read() const
+    {
+        std::array<char, 65536> buffer{};
+        const auto got = ::read(ends[0], buffer.data(), buffer.size());
+        return {buffer.data(), got > 0 ? static_cast<std::size_t>(got) : 0};
+    }
+};
+
+} // namespace
+
+TEST_CASE("log: a line holds its fields", "[log]")
+{
+    log_pipe pipe;
+    event_log log{pipe.ends[1], "i-1"};
+    log.write(
+        start,
+        event_rank::notable,
+        "request_end",
+        {{"request", "a b"}, {"took", milliseconds{12}}, {"parts", 10}});
+    log.flush();
+    CHECK(
+        pipe.read() ==
+        "t=3600000000 instance=i-1 event=request_end request=\"a b\" "
+        "took=12.0ms parts=10\n");
+}
+
+TEST_CASE("log: a pipe that nobody reads blocks nothing", "[log]")
+{
+    log_pipe pipe;
+    event_log log{pipe.ends[1], "i-1"};
+    // Without this test's bound the writes would block for ever.
+    for (int second = 0; second < 200; ++second) {
+        for (int i = 0; i < 300; ++i)
+            log.write(
+                start + seconds{second},
+                event_rank::notable,
+                "request_end",
+                {{"request", std::string(64, 'x')}});
+        log.flush();
+    }
+    CHECK(log.dropped() > 0);
+}
+
+TEST_CASE("log: routine lines leave room to notable ones", "[log]")
+{
+    log_pipe pipe;
+    event_log log{pipe.ends[1], "i-1"};
+    std::uint32_t routine = 0;
+    while (log.wants_routine(start)) {
+        log.write(start, event_rank::routine, "usual", {});
+        ++routine;
+    }
+    CHECK(routine == event_log::lines_per_second - event_log::notable_reserve);
+    const auto before = log.dropped();
+    for (std::uint32_t i = 0; i < event_log::notable_reserve; ++i)
+        log.write(start, event_rank::notable, "failure", {});
+    CHECK(log.dropped() == before);
+    log.write(start, event_rank::notable, "failure", {});
+    CHECK(log.dropped() == before + 1);
+
+    log.write(start + seconds{1}, event_rank::notable, "failure", {});
+    log.flush();
+    CHECK(pipe.read().find("event=log_left_out lines=2") != std::string::npos);
+}
