--- a/core/include/peridotward/core/admission/load_meter.hpp
+++ b/core/include/peridotward/core/admission/load_meter.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <peridotward/core/peer_message.hpp>
-
 #include <peridotward/base/time.hpp>
+#include <peridotward/core/peer_message.hpp>
 
 namespace peridotward {
 
--- a/core/include/peridotward/core/budgets/cold_limit.hpp
+++ b/core/include/peridotward/core/budgets/cold_limit.hpp
@@ -13,8 +13,8 @@
 /// \brief What a replica in a cold start bears, over the whole fleet.
 struct cold_bounds
 {
-    double over = 1.5;  ///< Times the told rate.
-    double slack = 5;   ///< Requests beyond it, in one second.
+    double over = 1.5; ///< Times the told rate.
+    double slack = 5;  ///< Requests beyond it, in one second.
 };
 
 /// \returns How many requests a second this instance may send to the cold
--- a/core/include/peridotward/core/budgets/retry_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_window.hpp
@@ -10,9 +10,9 @@
 /// \brief How many repeats upstreams bear, over the whole fleet.
 struct retry_bounds
 {
-    double ratio = 0.1;                ///< Repeats for each request.
-    double extra = 10;                 ///< Repeats beyond the ratio.
-    duration window = seconds{10};     ///< Any span of this length counts.
+    double ratio = 0.1;            ///< Repeats for each request.
+    double extra = 10;             ///< Repeats beyond the ratio.
+    duration window = seconds{10}; ///< Any span of this length counts.
 };
 
 /// \brief What a repeat is for.
@@ -51,9 +51,10 @@
     void give_back() noexcept;
 
     /// \returns The retries that may be sent now.
-    [[nodiscard]] double
-    left(const retry_bounds& bounds, std::uint32_t instances, time_point now)
-        noexcept;
+    [[nodiscard]] double left(
+        const retry_bounds& bounds,
+        std::uint32_t instances,
+        time_point now) noexcept;
 
 private:
     struct slice
@@ -68,9 +69,10 @@
         double spent = 0;
     };
 
-    [[nodiscard]] totals
-    count(const retry_bounds& bounds, std::uint32_t instances, time_point now)
-        noexcept;
+    [[nodiscard]] totals count(
+        const retry_bounds& bounds,
+        std::uint32_t instances,
+        time_point now) noexcept;
     void advance(const retry_bounds& bounds, time_point now) noexcept;
 
     /// The window, the slice that is filling, and one more for repeats.
--- a/core/include/peridotward/core/discovery/upstream_record.hpp
+++ b/core/include/peridotward/core/discovery/upstream_record.hpp
@@ -17,9 +17,9 @@
     std::string domain;
     std::uint32_t slots = 1;
     bool draining = false;
-    duration cold_left{};         ///< Rest of its cold start, when published.
-    std::uint64_t born = 0;       ///< Tells one start from another; 0: unknown.
-    std::uint64_t revision = 0;   ///< Of the publication.
+    duration cold_left{};       ///< Rest of its cold start, when published.
+    std::uint64_t born = 0;     ///< Tells one start from another; 0: unknown.
+    std::uint64_t revision = 0; ///< Of the publication.
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/entry_selector.hpp
+++ b/core/include/peridotward/core/entry_selector.hpp
@@ -15,7 +15,7 @@
     std::string id;
     std::string domain;
     endpoint callers;
-    bool usable = false; ///< Alive, ready and not leaving.
+    bool usable = false;        ///< Alive, ready and not leaving.
     std::uint32_t capacity = 0; ///< Thousandths of a core; 0: not told.
     member_load load = member_load::calm;
 };
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -235,7 +235,6 @@
     void finish(forward_end end, forward_actions& out);
     [[nodiscard]] forward_end failure() const noexcept;
 
-
     forward_config_ptr config_;
     const forward_route* route_;
     forward_times times_;
--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -43,7 +43,9 @@
         cold_bounds cold,
         std::string own_domain,
         random_source& random)
-        : catalog_{&catalog}, cold_{cold}, own_domain_{std::move(own_domain)},
+        : catalog_{&catalog},
+          cold_{cold},
+          own_domain_{std::move(own_domain)},
           random_{&random}
     {}
 
--- a/core/include/peridotward/core/placement/replica_health.hpp
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -26,8 +26,7 @@
 
     /// \brief Notes a good answer.
     /// \param usual The usual time of this kind of request; zero if unknown.
-    void
-    on_answered(duration took, duration usual, time_point now) noexcept;
+    void on_answered(duration took, duration usual, time_point now) noexcept;
 
     /// \brief Notes a failure of the replica.
     void on_failed(time_point now) noexcept;
--- a/core/include/peridotward/core/routing/forward_config.hpp
+++ b/core/include/peridotward/core/routing/forward_config.hpp
@@ -47,9 +47,9 @@
     std::string host;
     std::string prefix; ///< Begins and ends with a slash.
     repeat_rule repeat = repeat_rule::idempotent;
-    duration timeout{};        ///< Longest time to keep a caller waiting.
-    duration target_latency{}; ///< An answer within it has its full value.
-    std::int32_t priority = 0; ///< 0 is the most urgent.
+    duration timeout{};             ///< Longest time to keep a caller waiting.
+    duration target_latency{};      ///< An answer within it has its full value.
+    std::int32_t priority = 0;      ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1; ///< Upstreams for each part of a request.
 
     /// Services that share the requests; empty for a search over shards.
--- a/core/src/budgets/cold_limit.cpp
+++ b/core/src/budgets/cold_limit.cpp
@@ -1,6 +1,5 @@
-#include <peridotward/core/budgets/cold_limit.hpp>
-
 #include <peridotward/base/hash.hpp>
+#include <peridotward/core/budgets/cold_limit.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/core/src/budgets/retry_window.cpp
+++ b/core/src/budgets/retry_window.cpp
@@ -29,7 +29,9 @@
 }
 
 retry_window::totals retry_window::count(
-    const retry_bounds& bounds, std::uint32_t instances, time_point now) noexcept
+    const retry_bounds& bounds,
+    std::uint32_t instances,
+    time_point now) noexcept
 {
     advance(bounds, now);
     double requests = 0;
@@ -41,13 +43,14 @@
         if (age < slices)
             requests += past.requests;
     }
-    const double extra =
-        bounds.extra / std::max<std::uint32_t>(instances, 1);
+    const double extra = bounds.extra / std::max<std::uint32_t>(instances, 1);
     return {bounds.ratio * requests + extra, repeats};
 }
 
 double retry_window::left(
-    const retry_bounds& bounds, std::uint32_t instances, time_point now) noexcept
+    const retry_bounds& bounds,
+    std::uint32_t instances,
+    time_point now) noexcept
 {
     const auto sums = count(bounds, instances, now);
     return sums.allowed - sums.spent;
--- a/core/src/discovery/feed_plan.cpp
+++ b/core/src/discovery/feed_plan.cpp
@@ -1,6 +1,5 @@
-#include <peridotward/core/discovery/feed_plan.hpp>
-
 #include <peridotward/base/hash.hpp>
+#include <peridotward/core/discovery/feed_plan.hpp>
 
 #include <algorithm>
 #include <set>
@@ -63,8 +62,8 @@
     ranked = spread(ranked);
     ranked.resize(std::min(ranked.size(), feed_plan::readers_wanted));
     const auto& self = seen.self();
-    const auto own = std::find_if(
-        ranked.begin(), ranked.end(), [&](const candidate& entry) {
+    const auto own =
+        std::find_if(ranked.begin(), ranked.end(), [&](const candidate& entry) {
             return entry.seat == self.id;
         });
     if (own != ranked.end())
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -141,10 +141,9 @@
         return;
     const bool may_repeat =
         route_->repeat == repeat_rule::idempotent || wanted.ran == 0;
-    const bool tries_left = wanted.ran < route_->max_attempts &&
-                            wanted.refusals < max_refusals;
-    if (!may_repeat || !tries_left ||
-        !send(part, tools, profile, now, out))
+    const bool tries_left =
+        wanted.ran < route_->max_attempts && wanted.refusals < max_refusals;
+    if (!may_repeat || !tries_left || !send(part, tools, profile, now, out))
         give_up(part);
 }
 
--- a/core/src/gather/latency_profile.cpp
+++ b/core/src/gather/latency_profile.cpp
@@ -30,8 +30,8 @@
     if (recent_.count() < enough_answers)
         return;
     usual_ = recent_.quantile(0.5);
-    const auto least = std::chrono::duration_cast<duration>(
-        usual_ * least_wait);
+    const auto least =
+        std::chrono::duration_cast<duration>(usual_ * least_wait);
     hedge_ = std::max(least, recent_.quantile(hedge_quantile));
 }
 
--- a/core/src/gather/record_merge.cpp
+++ b/core/src/gather/record_merge.cpp
@@ -5,8 +5,7 @@
 
 namespace peridotward {
 
-std::string
-merge_records(std::span<const std::string> bodies, std::size_t most)
+std::string merge_records(std::span<const std::string> bodies, std::size_t most)
 {
     std::vector<std::string_view> records;
     for (const auto& body : bodies) {
--- a/core/src/placement/replica_health.cpp
+++ b/core/src/placement/replica_health.cpp
@@ -22,7 +22,10 @@
 constexpr milliseconds load_memory{60};
 /// Waits before the next try to connect; the last one repeats.
 constexpr std::array reconnect_waits{
-    milliseconds{100}, milliseconds{250}, milliseconds{500}, milliseconds{1000}};
+    milliseconds{100},
+    milliseconds{250},
+    milliseconds{500},
+    milliseconds{1000}};
 
 double faded(double value, duration age, duration memory) noexcept
 {
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -22,23 +22,21 @@
 
 } // namespace
 
-TEST_CASE("discovery: a lapsed entry serves until it must be gone",
-    "[discovery]")
+TEST_CASE(
+    "discovery: a lapsed entry serves until it must be gone", "[discovery]")
 {
     upstream_catalog catalog;
     catalog.publish(record_of("a"), start);
     catalog.withdraw("a", start);
     const auto number = catalog.of_service("s").front();
-    CHECK(
-        catalog.standing(catalog.at(number)) == replica_standing::fading);
+    CHECK(catalog.standing(catalog.at(number)) == replica_standing::fading);
 
     SECTION("it returns")
     {
         CHECK(catalog.expire(start + milliseconds{2000}).empty());
         catalog.publish(record_of("a", 2), start + milliseconds{2000});
         CHECK(
-            catalog.standing(catalog.at(number)) ==
-            replica_standing::serving);
+            catalog.standing(catalog.at(number)) == replica_standing::serving);
         CHECK(catalog.expire(start + seconds{60}).empty());
     }
     SECTION("it stays away")
@@ -50,8 +48,7 @@
     }
 }
 
-TEST_CASE("discovery: the same id born again is another replica",
-    "[discovery]")
+TEST_CASE("discovery: the same id born again is another replica", "[discovery]")
 {
     upstream_catalog catalog;
     catalog.publish(record_of("a"), start);
@@ -78,8 +75,8 @@
     CHECK(catalog.standing(catalog.at(number)) == replica_standing::barred);
 }
 
-TEST_CASE("discovery: an evacuated domain is barred until it returns",
-    "[discovery]")
+TEST_CASE(
+    "discovery: an evacuated domain is barred until it returns", "[discovery]")
 {
     upstream_catalog catalog;
     catalog.publish(record_of("a"), start);
--- a/core/tests/entry_naming_test.cpp
+++ b/core/tests/entry_naming_test.cpp
@@ -12,8 +12,7 @@
 entry_candidate
 instance(std::string id, std::string domain, std::uint32_t capacity)
 {
-    return {
-        id, std::move(domain), {id, 80}, true, capacity, member_load::calm};
+    return {id, std::move(domain), {id, 80}, true, capacity, member_load::calm};
 }
 
 std::vector<entry_candidate> uneven_fleet()
@@ -41,8 +40,7 @@
 
 } // namespace
 
-TEST_CASE("naming: strong instances of the own domain come alone",
-    "[naming]")
+TEST_CASE("naming: strong instances of the own domain come alone", "[naming]")
 {
     const auto named = entry_naming::name(uneven_fleet(), "b", 64);
     CHECK(ids(named) == std::vector<std::string>{"big-b0", "big-b1"});
@@ -51,15 +49,15 @@
 TEST_CASE("naming: a lone near instance has a stand-in", "[naming]")
 {
     auto fleet = uneven_fleet();
-    std::erase_if(fleet, [](const auto& entry) { return entry.id == "big-b0"; });
+    std::erase_if(
+        fleet, [](const auto& entry) { return entry.id == "big-b0"; });
     const auto named = entry_naming::name(fleet, "b", 64);
     REQUIRE(named.size() == 2);
     CHECK(named.front().id == "big-b1");
     CHECK(named.back().id.starts_with("big-"));
 }
 
-TEST_CASE("naming: weak instances help when strong ones are busy",
-    "[naming]")
+TEST_CASE("naming: weak instances help when strong ones are busy", "[naming]")
 {
     auto fleet = uneven_fleet();
     for (auto& entry : fleet) {
@@ -83,15 +81,15 @@
     CHECK(entry_naming::name(fleet, "b", 64).empty());
 }
 
-TEST_CASE("naming: without a known domain all strong ones are named",
-    "[naming]")
+TEST_CASE(
+    "naming: without a known domain all strong ones are named", "[naming]")
 {
     CHECK(entry_naming::name(uneven_fleet(), "", 64).size() == 6);
     CHECK(entry_naming::name(uneven_fleet(), "", 4).size() == 4);
 }
 
-TEST_CASE("load meter: late timers raise the level, and it does not flap",
-    "[naming]")
+TEST_CASE(
+    "load meter: late timers raise the level, and it does not flap", "[naming]")
 {
     load_meter meter;
     const time_point due{std::chrono::hours{1}};
--- a/core/tests/forward_budgets_test.cpp
+++ b/core/tests/forward_budgets_test.cpp
@@ -77,8 +77,8 @@
     CHECK(held);
 }
 
-TEST_CASE("retry window: a restarted instance spends no extra at first",
-    "[budgets]")
+TEST_CASE(
+    "retry window: a restarted instance spends no extra at first", "[budgets]")
 {
     // Its life before may have spent it within the same window.
     retry_ledger ledger{bounds};
@@ -115,8 +115,8 @@
     CHECK(ledger.take("s", repeat_use::retry, start));
 }
 
-TEST_CASE("retry window: fewer members known later do not raise a share",
-    "[budgets]")
+TEST_CASE(
+    "retry window: fewer members known later do not raise a share", "[budgets]")
 {
     retry_ledger ledger{{0, 8, seconds{10}}};
     ledger.started(start - seconds{60});
@@ -143,8 +143,8 @@
     }
 }
 
-TEST_CASE("cold limit: any second holds no more than the allowance",
-    "[budgets]")
+TEST_CASE(
+    "cold limit: any second holds no more than the allowance", "[budgets]")
 {
     cold_window window;
     random_source random{3};
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -23,8 +23,8 @@
     forward_config_ptr config;
     forward_actions out;
 
-    forward_world(std::uint32_t shards, std::uint32_t replicas,
-                  forward_route route)
+    forward_world(
+        std::uint32_t shards, std::uint32_t replicas, forward_route route)
     {
         repeats.started(start - seconds{60});
         auto built = std::make_shared<forward_config>();
@@ -85,8 +85,7 @@
         forward_outcome outcome,
         time_point now)
     {
-        return request.on_result(
-            attempt, outcome, tools(), profile, now, out);
+        return request.on_result(attempt, outcome, tools(), profile, now, out);
     }
 };
 
@@ -115,8 +114,8 @@
     CHECK(world.out.end == forward_end::complete);
 }
 
-TEST_CASE("forwarding: a paused replica is overtaken by a hedge",
-    "[forwarding]")
+TEST_CASE(
+    "forwarding: a paused replica is overtaken by a hedge", "[forwarding]")
 {
     forward_world world{10, 3, idempotent(2, 0.89)};
     auto request = world.request();
@@ -136,14 +135,11 @@
     CHECK(world.out.end == forward_end::complete);
     // The paused replica's own answer comes late and counts for nothing.
     CHECK_FALSE(world.result(
-        request,
-        0,
-        forward_outcome::answered,
-        start + milliseconds{150}));
+        request, 0, forward_outcome::answered, start + milliseconds{150}));
 }
 
-TEST_CASE("forwarding: an answer in time goes without its last part",
-    "[forwarding]")
+TEST_CASE(
+    "forwarding: an answer in time goes without its last part", "[forwarding]")
 {
     forward_world world{10, 1, idempotent(1, 0.89)};
     auto request = world.request();
@@ -187,16 +183,13 @@
     SECTION("the time is over")
     {
         request.on_time(
-            world.tools(),
-            world.profile,
-            start + milliseconds{580},
-            world.out);
+            world.tools(), world.profile, start + milliseconds{580}, world.out);
         CHECK(world.out.end == forward_end::timed_out);
     }
 }
 
-TEST_CASE("forwarding: a refusal is only said when nothing can run",
-    "[forwarding]")
+TEST_CASE(
+    "forwarding: a refusal is only said when nothing can run", "[forwarding]")
 {
     forward_world world{3, 1, idempotent(1)};
     auto request = world.request();
@@ -229,7 +222,8 @@
     CHECK(patience.place(route, caller).worth_until < start);
 }
 
-TEST_CASE("forwarding: what may run once goes on only after a refusal",
+TEST_CASE(
+    "forwarding: what may run once goes on only after a refusal",
     "[forwarding]")
 {
     forward_route once;
@@ -269,8 +263,8 @@
     }
 }
 
-TEST_CASE("forwarding: without a replica the refusal comes at once",
-    "[forwarding]")
+TEST_CASE(
+    "forwarding: without a replica the refusal comes at once", "[forwarding]")
 {
     forward_world world{1, 1, idempotent(2)};
     world.catalog.bar_domain("d0", true);
@@ -280,8 +274,8 @@
     CHECK(world.out.end == forward_end::not_run);
 }
 
-TEST_CASE("forwarding: no more replicas than attempts are allowed",
-    "[forwarding]")
+TEST_CASE(
+    "forwarding: no more replicas than attempts are allowed", "[forwarding]")
 {
     forward_world world{1, 4, idempotent(2)};
     auto request = world.request();
@@ -303,8 +297,8 @@
     CHECK(world.repeats.left("s0", start) >= before);
 }
 
-TEST_CASE("choice: a silent, slow or failing replica is passed over",
-    "[placement]")
+TEST_CASE(
+    "choice: a silent, slow or failing replica is passed over", "[placement]")
 {
     forward_world world{1, 3, idempotent(2)};
     const auto& service = world.config->services[0];
@@ -313,7 +307,10 @@
     const auto now = start + milliseconds{100};
     const auto usual = world.profile.usual();
 
-    SECTION("silent") { health.on_sent(start); }
+    SECTION("silent")
+    {
+        health.on_sent(start);
+    }
     SECTION("slow")
     {
         for (int i = 0; i < 5; ++i) {
@@ -358,8 +355,8 @@
     CHECK(tried);
 }
 
-TEST_CASE("choice: a cold replica gets no more than its allowance",
-    "[placement]")
+TEST_CASE(
+    "choice: a cold replica gets no more than its allowance", "[placement]")
 {
     forward_world world{1, 1, idempotent(1)};
     auto service = world.config->services[0];
@@ -368,13 +365,12 @@
     only.cold_until = start + seconds{3};
     int sent = 0;
     for (int i = 0; i < 100; ++i)
-        sent += world.choice
-                        .choose(
-                            service,
-                            {},
-                            milliseconds{10},
-                            world.fleet,
-                            start + milliseconds{i * 9})
+        sent += world.choice.choose(
+                    service,
+                    {},
+                    milliseconds{10},
+                    world.fleet,
+                    start + milliseconds{i * 9})
                     ? 1
                     : 0;
     CHECK(sent == 11); // 4 a second, 1.5 times, and 5
--- a/gateway/include/peridotward/gateway/counters.hpp
+++ b/gateway/include/peridotward/gateway/counters.hpp
@@ -21,10 +21,8 @@
         5, 10, 20, 35, 50, 75, 100, 150, 250, 400, 800, 2000};
 
     void count(std::string_view name, std::uint64_t step = 1);
-    void request(
-        std::string_view route,
-        std::string_view outcome,
-        duration took);
+    void
+    request(std::string_view route, std::string_view outcome, duration took);
 
     /// \returns Everything in the Prometheus text format.
     [[nodiscard]] std::string render() const;
--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -44,8 +44,7 @@
 };
 
 /// \returns Whether the two are equal but for the case of ASCII letters.
-[[nodiscard]] bool
-same_word(std::string_view a, std::string_view b) noexcept;
+[[nodiscard]] bool same_word(std::string_view a, std::string_view b) noexcept;
 
 /// \brief One whole request of a caller.
 struct request_message
--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -44,9 +44,8 @@
 /// \brief One connection of a caller; one request at a time.
 class http_session final
     : public io_handler,
-      public boost::intrusive_ref_counter<
-          http_session,
-          boost::thread_unsafe_counter>,
+      public boost::
+          intrusive_ref_counter<http_session, boost::thread_unsafe_counter>,
       public boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
@@ -158,10 +157,9 @@
     reactor* loop_;
     http_handler* handler_;
     unique_socket socket_;
-    boost::intrusive::list<
-        http_session,
-        boost::intrusive::constant_time_size<false>>
-        sessions_;
+    boost::intrusive::
+        list<http_session, boost::intrusive::constant_time_size<false>>
+            sessions_;
 };
 
 /// \returns The usual text of an HTTP status.
--- a/gateway/include/peridotward/gateway/reactor.hpp
+++ b/gateway/include/peridotward/gateway/reactor.hpp
@@ -86,9 +86,8 @@
     time_point refresh() noexcept { return now_ = clock_->now(); }
 
 private:
-    using timer_set = boost::intrusive::multiset<
-        reactor_timer,
-        boost::intrusive::constant_time_size<false>>;
+    using timer_set = boost::intrusive::
+        multiset<reactor_timer, boost::intrusive::constant_time_size<false>>;
 
     [[nodiscard]] int wait_milliseconds() const noexcept;
     void run_timers();
--- a/gateway/include/peridotward/gateway/request_state.hpp
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -6,9 +6,8 @@
 
 /// \brief What belongs to one request until its last attempt has ended.
 class request_state
-    : public boost::intrusive_ref_counter<
-          request_state,
-          boost::thread_unsafe_counter>
+    : public boost::
+          intrusive_ref_counter<request_state, boost::thread_unsafe_counter>
 {
 public:
     request_state() = default;
--- a/gateway/include/peridotward/gateway/upstream_link.hpp
+++ b/gateway/include/peridotward/gateway/upstream_link.hpp
@@ -50,9 +50,8 @@
 /// the connection.
 class upstream_link final
     : public io_handler,
-      public boost::intrusive_ref_counter<
-          upstream_link,
-          boost::thread_unsafe_counter>,
+      public boost::
+          intrusive_ref_counter<upstream_link, boost::thread_unsafe_counter>,
       public boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
@@ -139,9 +138,7 @@
     static constexpr milliseconds fresh_enough{1000};
 
     upstream_pool(
-        reactor& loop,
-        upstream_catalog& catalog,
-        const protocol_names& names)
+        reactor& loop, upstream_catalog& catalog, const protocol_names& names)
         : loop_{&loop}, catalog_{&catalog}, names_{&names}
     {}
 
@@ -149,8 +146,8 @@
     /// fewer than `most`.
     ///
     /// \returns False when no connection may be made; nothing is reported.
-    [[nodiscard]] bool send(
-        replica_number number, upstream_request request, std::uint32_t most);
+    [[nodiscard]] bool
+    send(replica_number number, upstream_request request, std::uint32_t most);
 
     /// \brief Ends all attempts of `owner` without a report.
     void abort_all(const attempt_owner& owner);
--- a/gateway/src/event_log.cpp
+++ b/gateway/src/event_log.cpp
@@ -119,8 +119,7 @@
 {
     if (pending_.empty())
         return;
-    const auto taken =
-        ::write(descriptor_, pending_.data(), pending_.size());
+    const auto taken = ::write(descriptor_, pending_.data(), pending_.size());
     if (taken > 0)
         pending_.erase(0, static_cast<std::size_t>(taken));
 }
--- a/gateway/src/exchange.cpp
+++ b/gateway/src/exchange.cpp
@@ -41,8 +41,7 @@
     return false;
 }
 
-void add_field(
-    std::string& to, std::string_view name, std::string_view value)
+void add_field(std::string& to, std::string_view name, std::string_view value)
 {
     to += name;
     to += ": ";
@@ -82,7 +81,9 @@
     http_session& session,
     forwarded_request request,
     std::string request_id)
-    : owner_{&owner}, session_{&session}, request_{std::move(request)},
+    : owner_{&owner},
+      session_{&session},
+      request_{std::move(request)},
       profile_{&owner.profiles_[request_.route().name]},
       request_id_{std::move(request_id)},
       head_{head_for_upstreams(session.request(), *owner.names_)},
@@ -103,8 +104,7 @@
 
 void exchange::begin()
 {
-    request_.begin(
-        owner_->tools(), *profile_, owner_->loop_->now(), actions_);
+    request_.begin(owner_->tools(), *profile_, owner_->loop_->now(), actions_);
     act();
 }
 
@@ -283,8 +283,7 @@
         owner_->names_->parts_missing,
         std::to_string(request_.part_count() - included));
     head += "Content-Type: application/octet-stream\r\n";
-    session.respond(
-        head, merge_records(bodies_, request_.route().top_records));
+    session.respond(head, merge_records(bodies_, request_.route().top_records));
 }
 
 void exchange::answer_failure(http_session& session, forward_end end)
@@ -310,8 +309,8 @@
     const auto now = owner_->loop_->now();
     const auto took = now - request_.times().arrived;
     owner_->numbers_->request(request_.route().name, name_of(end), took);
-    const bool usual = end == forward_end::complete &&
-                       now <= request_.times().worth_until;
+    const bool usual =
+        end == forward_end::complete && now <= request_.times().worth_until;
     if (usual && !owner_->log_->wants_routine(now))
         return;
     owner_->log_->write(
@@ -345,8 +344,7 @@
         owner_->loop_->now() - request_.times().arrived);
     for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
         if (request_.open(i))
-            owner_->catalog_.at(request_.replica_of(i))
-                .health.on_withdrawn();
+            owner_->catalog_.at(request_.replica_of(i)).health.on_withdrawn();
     }
     owner_->pool_.abort_all(*this);
 }
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -15,9 +15,8 @@
         field = field.substr(0, colon);
     std::string host{field};
     std::transform(host.begin(), host.end(), host.begin(), [](char letter) {
-        return letter >= 'A' && letter <= 'Z'
-                   ? static_cast<char>(letter + 32)
-                   : letter;
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
+                                              : letter;
     });
     return host;
 }
@@ -65,10 +64,15 @@
     const gateway_settings& settings,
     const protocol_names& names,
     std::uint64_t seed)
-    : loop_{&loop}, log_{&log}, numbers_{&numbers}, settings_{&settings},
-      names_{&names}, random_{seed},
+    : loop_{&loop},
+      log_{&log},
+      numbers_{&numbers},
+      settings_{&settings},
+      names_{&names},
+      random_{seed},
       choice_{catalog_, settings.cold, settings.domain, random_},
-      repeats_{settings.repeats}, pool_{loop, catalog_, names}
+      repeats_{settings.repeats},
+      pool_{loop, catalog_, names}
 {
     fleet_.self = settings.listen.peers.text();
     repeats_.started(loop.now());
@@ -108,8 +112,7 @@
 {
     if (to.max_connections == 0)
         return most_links;
-    const auto instances =
-        static_cast<std::uint32_t>(fleet_.others.size()) + 1;
+    const auto instances = static_cast<std::uint32_t>(fleet_.others.size()) + 1;
     return std::clamp(to.max_connections / instances, 1U, most_links);
 }
 
@@ -150,8 +153,7 @@
         refuse(session, 503, "no configuration yet", retry_after_start);
         return;
     }
-    const auto* route =
-        config_->find(host_of(*host), path_of(request.target));
+    const auto* route = config_->find(host_of(*host), path_of(request.target));
     if (route == nullptr) {
         refuse(session, 404, "no route has this host and path");
         return;
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -1,6 +1,5 @@
-#include <peridotward/gateway/gateway.hpp>
-
 #include <peridotward/core/admission/load_meter.hpp>
+#include <peridotward/gateway/gateway.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -55,7 +54,9 @@
         const peer_gossip& peers,
         const gateway_settings& settings,
         counters& numbers)
-        : codec_{&codec}, peers_{&peers}, settings_{&settings},
+        : codec_{&codec},
+          peers_{&peers},
+          settings_{&settings},
           numbers_{&numbers}
     {}
 
@@ -68,9 +69,7 @@
         }
         numbers_->count("directory_questions_total");
         const auto named = entry_naming::name(
-            peers_->serving(),
-            codec_->domain_in(target),
-            gateway::most_named);
+            peers_->serving(), codec_->domain_in(target), gateway::most_named);
         if (named.empty()) {
             session.respond(503, "text/plain", "no instance is ready");
             return;
@@ -99,8 +98,11 @@
         const event_log& log,
         const counters& numbers,
         const reactor& loop)
-        : forwarding_{&forwarding}, peers_{&peers}, log_{&log},
-          numbers_{&numbers}, loop_{&loop}
+        : forwarding_{&forwarding},
+          peers_{&peers},
+          log_{&log},
+          numbers_{&numbers},
+          loop_{&loop}
     {}
 
     void on_request(http_session& session) override
@@ -211,7 +213,9 @@
         const directory_codec& codec,
         std::uint64_t seed,
         incarnation_number incarnation)
-        : loop{&shared_loop}, log{&shared_log}, settings{std::move(given)},
+        : loop{&shared_loop},
+          log{&shared_log},
+          settings{std::move(given)},
           names{std::move(given_names)},
           forwarding{shared_loop, shared_log, numbers, settings, names, seed},
           peers{shared_loop, shared_log, settings, seed + 1, incarnation},
@@ -221,7 +225,8 @@
           callers_listener{shared_loop, forwarding},
           ready_listener{shared_loop, ready},
           directory_listener{shared_loop, directory},
-          control_listener{shared_loop, control}, timer{[this] { check(); }}
+          control_listener{shared_loop, control},
+          timer{[this] { check(); }}
     {}
 
     void check();
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -1,6 +1,5 @@
-#include <peridotward/gateway/gateway_settings.hpp>
-
 #include <peridotward/base/object_reader.hpp>
+#include <peridotward/gateway/gateway_settings.hpp>
 
 #include <fstream>
 #include <iterator>
@@ -56,8 +55,7 @@
     into.repeats.ratio = from.number("repeat_ratio", 0, most_ratio);
     into.repeats.extra = from.number("repeat_extra", 0, most_repeats);
     into.repeats.window = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>{
-            from.number("repeat_window_s", 1, 3600)});
+        std::chrono::duration<double>{from.number("repeat_window_s", 1, 3600)});
     into.cold.over = from.number("cold_over", 0, most_ratio);
     into.cold.slack = from.number("cold_slack", 0, most_repeats);
     into.grace = std::chrono::duration_cast<duration>(
@@ -95,7 +93,8 @@
         return tl::unexpected{document.error()};
     try {
         return read_settings(*document);
-    } catch (const invalid_document& failure) {
+    }
+    catch (const invalid_document& failure) {
         return fail(error_kind::config_invalid, failure.what());
     }
 }
@@ -109,8 +108,7 @@
         std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
     auto parsed = parse_gateway_settings(text);
     if (!parsed)
-        return fail(
-            parsed.error().kind, path + ": " + parsed.error().message);
+        return fail(parsed.error().kind, path + ": " + parsed.error().message);
     return parsed;
 }
 
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -1,8 +1,7 @@
 #include <peridotward/gateway/http_reader.hpp>
 
-#include <boost/beast/http/error.hpp>
-
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -40,8 +39,7 @@
     boost::beast::error_code error;
     while (used < input.size() && !parser.is_done()) {
         const auto taken = parser.put(
-            boost::asio::const_buffer{
-                input.data() + used, input.size() - used},
+            boost::asio::const_buffer{input.data() + used, input.size() - used},
             error);
         used += taken;
         if (error == http::error::need_more) {
@@ -144,8 +142,7 @@
 void request_reader::on_header_impl(error_code&)
 {
     into_->keep_alive = keep_alive();
-    into_->has_length =
-        chunked() || content_length().has_value();
+    into_->has_length = chunked() || content_length().has_value();
 }
 
 std::size_t request_reader::on_body_impl(string_view body, error_code&)
@@ -154,8 +151,8 @@
     return body.size();
 }
 
-std::size_t request_reader::on_chunk_body_impl(
-    std::uint64_t, string_view body, error_code&)
+std::size_t
+request_reader::on_chunk_body_impl(std::uint64_t, string_view body, error_code&)
 {
     into_->body += standard(body);
     return body.size();
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -40,7 +40,9 @@
 
 http_session::http_session(
     reactor& loop, unique_socket socket, http_handler& handler)
-    : loop_{&loop}, socket_{std::move(socket)}, handler_{&handler},
+    : loop_{&loop},
+      socket_{std::move(socket)},
+      handler_{&handler},
       idle_since_{loop.now()}
 {}
 
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -1,5 +1,4 @@
 #include <peridotward/gateway/peer_gossip.hpp>
-
 #include <peridotward/wire/codec.hpp>
 
 #include <arpa/inet.h>
@@ -31,8 +30,8 @@
     return timing;
 }
 
-member_update self_of(
-    const gateway_settings& settings, incarnation_number incarnation)
+member_update
+self_of(const gateway_settings& settings, incarnation_number incarnation)
 {
     member_update self;
     self.id = settings.listen.peers.text();
@@ -64,7 +63,9 @@
     const gateway_settings& settings,
     std::uint64_t seed,
     incarnation_number incarnation)
-    : loop_{&loop}, log_{&log}, settings_{&settings},
+    : loop_{&loop},
+      log_{&log},
+      settings_{&settings},
       members_{self_of(settings, incarnation), seed, gossip_timing()},
       timer_{[this] { on_time(); }}
 {}
@@ -152,10 +153,8 @@
         return;
     std::array<char, INET_ADDRSTRLEN> host{};
     ::inet_ntop(AF_INET, &source.sin_addr, host.data(), host.size());
-    const auto from =
-        endpoint{host.data(), ntohs(source.sin_port)}.text();
-    const auto message =
-        decode({buffer.data(), static_cast<std::size_t>(got)});
+    const auto from = endpoint{host.data(), ntohs(source.sin_port)}.text();
+    const auto message = decode({buffer.data(), static_cast<std::size_t>(got)});
     if (!message) {
         ++bad_frames_;
         return;
--- a/gateway/src/socket.cpp
+++ b/gateway/src/socket.cpp
@@ -42,15 +42,21 @@
 {
     set(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     set(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(
-        times.idle.count()));
-    set(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(
-        times.interval.count()));
+    set(descriptor,
+        IPPROTO_TCP,
+        TCP_KEEPIDLE,
+        static_cast<int>(times.idle.count()));
+    set(descriptor,
+        IPPROTO_TCP,
+        TCP_KEEPINTVL,
+        static_cast<int>(times.interval.count()));
     set(descriptor, IPPROTO_TCP, TCP_KEEPCNT, times.probes);
     const milliseconds unacknowledged =
         times.idle + times.interval * times.probes;
-    set(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(
-        unacknowledged.count()));
+    set(descriptor,
+        IPPROTO_TCP,
+        TCP_USER_TIMEOUT,
+        static_cast<int>(unacknowledged.count()));
 }
 
 result<unique_socket> open_socket(int type, const endpoint& where)
--- a/gateway/src/upstream_link.cpp
+++ b/gateway/src/upstream_link.cpp
@@ -34,8 +34,7 @@
     if (first == std::string_view::npos || second == std::string_view::npos)
         return std::nullopt;
     const auto running = number_in(text.substr(0, first));
-    const auto waiting =
-        number_in(text.substr(first + 1, second - first - 1));
+    const auto waiting = number_in(text.substr(first + 1, second - first - 1));
     const auto slots = number_in(text.substr(second + 1));
     if (!running || !waiting || !slots)
         return std::nullopt;
@@ -213,8 +212,7 @@
         return;
     }
     const bool whole_request = written_ == request_.bytes.size();
-    const bool reusable =
-        answer_.keep_alive && whole_request && input_.empty();
+    const bool reusable = answer_.keep_alive && whole_request && input_.empty();
     note_answer();
     const auto outcome = outcome_of_answer();
     if (reusable) {
@@ -282,8 +280,7 @@
     const boost::intrusive_ptr<upstream_link> keep{this};
     const bool connect_over =
         phase_ == phase::connecting && now - began_ > connect_time;
-    const bool answer_over =
-        phase_ == phase::busy && now > request_.give_up_at;
+    const bool answer_over = phase_ == phase::busy && now > request_.give_up_at;
     const bool idle_over = phase_ == phase::idle && now >= use_until_;
     if (connect_over || answer_over)
         on_end(false);
