--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -18,6 +18,9 @@
 {
     std::string self;                ///< Name of this instance.
     std::vector<std::string> others; ///< Names of all that may be running.
+    /// Instances that callers are told of, which send most of the requests.
+    std::uint32_t senders = 1;
+    bool sends = true; ///< Whether this instance is one of them.
 };
 
 /// \brief Chooses the upstream for one request.
@@ -31,7 +34,7 @@
 public:
     /// Factor on the expected time in another failure domain: the way there
     /// and back, and the price of traffic between domains.
-    static constexpr double other_domain_factor = 1.12;
+    static constexpr double other_domain_factor = 1.4;
     /// Factor on the expected time of a replica in a cold start.
     static constexpr double cold_factor = 2.0;
     /// A failure or refusal costs about this many usual latencies.
--- a/core/tests/entry_naming_test.cpp
+++ b/core/tests/entry_naming_test.cpp
@@ -1,4 +1,5 @@
 #include <peridotward/core/admission/load_meter.hpp>
+#include <peridotward/core/budgets/connection_share.hpp>
 #include <peridotward/core/entry_selector.hpp>
 
 #include <catch2/catch.hpp>
@@ -108,3 +109,18 @@
     run(50, milliseconds{1});
     CHECK(meter.level() == member_load::calm);
 }
+
+TEST_CASE(
+    "connections: those that send divide what a replica bears", "[naming]")
+{
+    fleet_view fleet;
+    fleet.senders = 6;
+    CHECK(connection_share::of(72, fleet) == connection_share::most);
+    fleet.senders = 8;
+    CHECK(connection_share::of(26, fleet) == 2);
+    fleet.senders = 300;
+    CHECK(connection_share::of(72, fleet) == 1);
+    fleet.sends = false;
+    CHECK(connection_share::of(72, fleet) == 1);
+    CHECK(connection_share::of(0, fleet) == connection_share::most);
+}
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -20,8 +20,6 @@
 class forwarder final : public http_handler
 {
 public:
-    /// Most connections of this instance to one replica.
-    static constexpr std::uint32_t most_links = 6;
     /// A caller that is told to come back finds a replica's slot by then.
     static constexpr milliseconds retry_after_full{50};
     /// A starting instance reads the configuration within this time.
@@ -65,7 +63,6 @@
         std::uint32_t status,
         std::string_view reason,
         milliseconds retry_after = {});
-    [[nodiscard]] std::uint32_t links_to(const forward_service& to) const;
     [[nodiscard]] forward_tools tools() noexcept
     {
         return {&catalog_, &choice_, &repeats_, &fleet_};
--- a/gateway/src/exchange.cpp
+++ b/gateway/src/exchange.cpp
@@ -1,5 +1,6 @@
 #include "exchange.hpp"
 
+#include <peridotward/core/budgets/connection_share.hpp>
 #include <peridotward/core/gather/record_merge.hpp>
 
 #include <algorithm>
@@ -177,7 +178,9 @@
             return entry.name == target.published.service;
         });
     if (!owner_->pool_.send(
-            wanted.to, std::move(request), owner_->links_to(service)))
+            wanted.to,
+            std::move(request),
+            connection_share::of(service.max_connections, owner_->fleet_)))
         unsendable_.push_back(wanted.attempt);
     if (wanted.repeat)
         owner_->numbers_->count("repeats_total");
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -108,14 +108,6 @@
     repeats_.instances(static_cast<std::uint32_t>(fleet_.others.size()) + 1);
 }
 
-std::uint32_t forwarder::links_to(const forward_service& to) const
-{
-    if (to.max_connections == 0)
-        return most_links;
-    const auto instances = static_cast<std::uint32_t>(fleet_.others.size()) + 1;
-    return std::clamp(to.max_connections / instances, 1U, most_links);
-}
-
 void forwarder::refuse(
     http_session& session,
     std::uint32_t status,
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -258,6 +258,13 @@
 {
     fleet_view seen;
     seen.others = peers.running();
+    const auto named =
+        entry_naming::name(peers.serving(), "", gateway::most_named);
+    seen.senders = static_cast<std::uint32_t>(named.size());
+    seen.sends = std::any_of(
+        named.begin(), named.end(), [&](const entry_candidate& entry) {
+            return entry.callers == settings.listen.callers;
+        });
     log->write(
         loop->now(),
         event_rank::notable,
