--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Wait before a hedge while the usual latency is not known.
-constexpr milliseconds unknown_hedge_wait{60};
+/// While the usual latency is not known, a hedge is sent after this part of
+/// the target latency: early enough to be answered within it.
+constexpr int unknown_hedge_divisor = 3;
 /// Wait before the next look when a wanted hedge had no budget or replica.
 constexpr milliseconds hedge_pause{10};
 /// Rounding of shares of shards.
@@ -98,7 +99,7 @@
     tools.catalog->at(*chosen).health.on_sent(now);
     const auto wait = profile.hedge_after() > duration::zero()
                           ? profile.hedge_after()
-                          : duration{unknown_hedge_wait};
+                          : route_->target_latency / unknown_hedge_divisor;
     const bool may_hedge = route_->repeat == repeat_rule::idempotent &&
                            wanted.ran < route_->max_attempts;
     wanted.hedge_at = may_hedge ? now + wait : time_point::max();
--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -19,7 +19,8 @@
     endpoint callers;
     endpoint ready;
     endpoint directory;
-    endpoint control; ///< State dump and metrics.
+    endpoint control; ///< State dump, metrics, and what other instances ask.
+    endpoint metrics; ///< The same, at a port that does not change.
     endpoint peers;   ///< UDP, between instances.
 };
 
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -120,7 +120,18 @@
     if (retry_after > milliseconds{}) {
         head += "Retry-After: " + seconds_text(retry_after) + "\r\n";
     }
-    if (const auto id = session.request().fields.find(names_->request_id)) {
+    const auto id = session.request().fields.find(names_->request_id);
+    numbers_->count(
+        "refusals_total{status=\"" + std::to_string(status) + "\"}");
+    log_->write(
+        loop_->now(),
+        event_rank::notable,
+        "request_refused",
+        {{"request", id.value_or("")},
+         {"status", status},
+         {"reason", reason},
+         {"config", config_ ? config_->version : 0}});
+    if (id) {
         head += names_->request_id + ": ";
         head += *id;
         head += "\r\n";
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -226,6 +226,7 @@
           ready_listener{shared_loop, ready},
           directory_listener{shared_loop, directory},
           control_listener{shared_loop, control},
+          metrics_listener{shared_loop, control},
           timer{[this] { check(); }}
     {}
 
@@ -247,6 +248,7 @@
     http_listener ready_listener;
     http_listener directory_listener;
     http_listener control_listener;
+    http_listener metrics_listener;
     load_meter meter;
     reactor_timer timer;
     bool known = false;
@@ -284,6 +286,7 @@
     ready_listener.check(now);
     directory_listener.check(now);
     control_listener.check(now);
+    metrics_listener.check(now);
     check_stop(now);
     log->flush();
     loop->arm(timer, now + check_interval);
@@ -350,6 +353,7 @@
         .and_then([&] { return all.ready_listener.open(listen.ready); })
         .and_then([&] { return all.directory_listener.open(listen.directory); })
         .and_then([&] { return all.control_listener.open(listen.control); })
+        .and_then([&] { return all.metrics_listener.open(listen.metrics); })
         .and_then([&] { return all.peers.start(); })
         .map([&] { all.loop->arm(all.timer, all.loop->now()); });
 }
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -28,6 +28,7 @@
     read.ready = address_in(from, "ready");
     read.directory = address_in(from, "directory");
     read.control = address_in(from, "control");
+    read.metrics = address_in(from, "metrics");
     read.peers = address_in(from, "peers");
     from.finish();
     return read;
--- /dev/null
+++ b/soak/fleet.cpp
@@ -0,0 +1,107 @@
+#include "fleet.hpp"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace peridotward::soak {
+
+fleet::fleet(
+    std::string program, std::string folder, soak_place place, int size)
+    : program_{std::move(program)},
+      folder_{std::move(folder)},
+      place_{place},
+      processes_(static_cast<std::size_t>(size), 0)
+{
+    for (int i = 0; i < size; ++i)
+        start(i);
+}
+
+fleet::~fleet()
+{
+    for (int i = 0; i < size(); ++i) {
+        signal(i, SIGKILL);
+        await(i, 2000);
+    }
+}
+
+std::string fleet::write_settings(int instance) const
+{
+    const auto host = place_.instance_host(instance);
+    const auto path = folder_ + "/" + std::to_string(instance) + ".jsonc";
+    const auto at = [&](int port) {
+        return "\"" + host + ":" + std::to_string(port) + "\"";
+    };
+    std::ofstream{path}
+        << "{\"instance\":{\"id\":\"i" << instance << "\",\"domain\":\"d"
+        << instance % 3 << "\",\"region\":\"r\",\"cores\":1},\"listen\":{"
+        << "\"callers\":" << at(callers_port) << ",\"ready\":" << at(8081)
+        << ",\"directory\":" << at(8082) << ",\"control\":" << at(8083)
+        << ",\"metrics\":" << at(8084) << ",\"peers\":" << at(8085)
+        << "},\"seeds\":[\"" << place_.instance_host(0) << ":1\",\""
+        << place_.instance_host(1) << ":1\"],\"store\":\""
+        << place_.replica_host() << ":" << first_store_port + instance
+        << "\",\"limits\":{\"repeat_ratio\":0.2,\"repeat_extra\":56,"
+        << "\"repeat_window_s\":10,\"cold_over\":1.5,\"cold_slack\":5,"
+        << "\"grace_s\":6}}\n";
+    return path;
+}
+
+void fleet::start(int instance)
+{
+    const auto settings = write_settings(instance);
+    const auto log = folder_ + "/" + std::to_string(instance) + ".log";
+    const pid_t child = ::fork();
+    if (child < 0)
+        throw std::runtime_error{"cannot fork"};
+    if (child == 0) {
+        const int out =
+            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(out, STDOUT_FILENO);
+        ::dup2(out, STDERR_FILENO);
+        ::execl(
+            program_.c_str(),
+            program_.c_str(),
+            "--settings",
+            settings.c_str(),
+            nullptr);
+        ::_exit(127);
+    }
+    processes_[static_cast<std::size_t>(instance)] = child;
+}
+
+void fleet::signal(int instance, int number) const
+{
+    const auto process = processes_[static_cast<std::size_t>(instance)];
+    if (process > 0)
+        ::kill(process, number);
+}
+
+bool fleet::await(int instance, int most_ms)
+{
+    auto& process = processes_[static_cast<std::size_t>(instance)];
+    if (process <= 0)
+        return true;
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds{most_ms};
+    while (std::chrono::steady_clock::now() < until) {
+        if (::waitpid(process, nullptr, WNOHANG) == process) {
+            process = 0;
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    ::kill(process, SIGCONT);
+    ::kill(process, SIGKILL);
+    ::waitpid(process, nullptr, 0);
+    process = 0;
+    return false;
+}
+
+} // namespace peridotward::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,132 @@
+#include "soak_run.hpp"
+
+#include <getopt.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+using namespace peridotward::soak;
+
+constexpr int exit_usage = 2;
+constexpr int most_parallel = 8;
+
+constexpr const char* usage =
+    "usage: peridotward-soak --program FILE [--seeds A-B] [--seconds N]\n"
+    "           [--instances N] [--callers N] [--parallel N] [--folder DIR]\n"
+    "\n"
+    "Runs gateways as processes on loopback, injects faults by seed and "
+    "checks\n"
+    "what callers and replicas see. Logs stay below the folder, one a seed.\n"
+    "\n"
+    "exit codes: 0 all promises kept, 1 some broken, 2 usage\n";
+
+[[noreturn]] void wrong_usage()
+{
+    std::cerr << usage;
+    std::exit(exit_usage);
+}
+
+void read_seeds(const std::string& text, soak_options& into)
+{
+    const auto dash = text.find('-');
+    try {
+        into.first_seed = std::stoull(text.substr(0, dash));
+        into.last_seed = dash == std::string::npos
+                             ? into.first_seed
+                             : std::stoull(text.substr(dash + 1));
+    }
+    catch (const std::exception&) {
+        wrong_usage();
+    }
+}
+
+soak_options parse(int argc, char** argv)
+{
+    constexpr option options[] = {
+        {"program", required_argument, nullptr, 'p'},
+        {"seeds", required_argument, nullptr, 's'},
+        {"seconds", required_argument, nullptr, 't'},
+        {"instances", required_argument, nullptr, 'i'},
+        {"callers", required_argument, nullptr, 'c'},
+        {"parallel", required_argument, nullptr, 'j'},
+        {"folder", required_argument, nullptr, 'f'},
+        {"help", no_argument, nullptr, 'h'},
+        {nullptr, 0, nullptr, 0},
+    };
+    soak_options parsed;
+    int letter = 0;
+    while ((letter = getopt_long(
+                argc, argv, "p:s:t:i:c:j:f:h", options, nullptr)) != -1) {
+        switch (letter) {
+        case 'p':
+            parsed.program = optarg;
+            break;
+        case 's':
+            read_seeds(optarg, parsed);
+            break;
+        case 't':
+            parsed.seconds = std::atoi(optarg);
+            break;
+        case 'i':
+            parsed.instances = std::atoi(optarg);
+            break;
+        case 'c':
+            parsed.callers = std::atoi(optarg);
+            break;
+        case 'j':
+            parsed.parallel = std::atoi(optarg);
+            break;
+        case 'f':
+            parsed.folder = optarg;
+            break;
+        case 'h':
+            std::cout << usage;
+            std::exit(EXIT_SUCCESS);
+        default:
+            wrong_usage();
+        }
+    }
+    const bool valid = !parsed.program.empty() && parsed.seconds > 0 &&
+                       parsed.instances > 1 && parsed.callers > 0 &&
+                       parsed.parallel > 0 && parsed.parallel <= most_parallel;
+    if (!valid)
+        wrong_usage();
+    return parsed;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto options = parse(argc, argv);
+    std::atomic<std::uint64_t> next = options.first_seed;
+    std::atomic<std::size_t> failed = 0;
+    std::mutex output;
+    std::vector<std::thread> runners;
+    for (int i = 0; i < options.parallel; ++i) {
+        runners.emplace_back([&] {
+            for (auto seed = next++; seed <= options.last_seed; seed = next++) {
+                const auto result = run_seed(options, seed);
+                const std::lock_guard lock{output};
+                std::cout << "seed " << result.seed << ": " << result.attempts
+                          << " requests, " << result.repeats << " repeats, "
+                          << result.broken.size() << " broken ("
+                          << result.faults << ")" << std::endl;
+                for (std::size_t i = 0; i < result.broken.size() && i < 5; ++i)
+                    std::cout << "    " << result.broken[i] << std::endl;
+                failed += result.broken.empty() ? 0 : 1;
+            }
+        });
+    }
+    for (auto& runner : runners)
+        runner.join();
+    const auto seeds = options.last_seed - options.first_seed + 1;
+    std::cout << seeds - failed << " passed, " << failed << " failed"
+              << std::endl;
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
