--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -64,7 +64,8 @@
     ~soak_world()
     {
         context_.stop();
-        thread_.join();
+        if (thread_.joinable())
+            thread_.join();
     }
     soak_world(const soak_world&) = delete;
     soak_world& operator=(const soak_world&) = delete;
@@ -441,8 +442,16 @@
 
 soak_result run_seed(const soak_options& options, std::uint64_t seed)
 {
-    soak_world world{options, seed};
-    return world.run(seed);
+    try {
+        soak_world world{options, seed};
+        return world.run(seed);
+    }
+    catch (const std::exception& failure) {
+        soak_result result;
+        result.seed = seed;
+        result.broken.push_back(std::string{"not run: "} + failure.what());
+        return result;
+    }
 }
 
 } // namespace peridotward::soak
