Hedges stop where replicas refuse or have no room; experiment tool

Change: no hedge to a replica without a free slot, none at a service that refuses one attempt in twenty; a replica that refuses with free slots may be asked again, a full one not; a refusal weighs more in the choice.

--- a/core/include/peridotward/core/budgets/retry_ledger.hpp
+++ b/core/include/peridotward/core/budgets/retry_ledger.hpp
@@ -14,6 +14,12 @@
 class retry_ledger
 {
 public:
+    /// Share of refusals above which a service is pressed: a single refusal
+    /// in twenty is no overload.
+    static constexpr double pressed_share = 0.05;
+    /// Weight of the newest attempt: the share spans about thirty.
+    static constexpr double refusal_gain = 1.0 / 32;
+
     explicit retry_ledger(retry_bounds bounds) : bounds_{bounds} {}
 
     /// \brief Says when this process began to send.
@@ -31,6 +37,21 @@
         instances_ = std::max(instances_, count);
     }
 
+    /// \brief Notes whether a replica of `service` refused an attempt.
+    void on_attempt(const std::string& service, bool refused)
+    {
+        auto& share = refusals_[service];
+        share += ((refused ? 1.0 : 0.0) - share) * refusal_gain;
+    }
+
+    /// \returns Whether replicas of `service` refuse so much that hedges
+    /// would only add to it and spend what retries need.
+    [[nodiscard]] bool pressed(const std::string& service) const
+    {
+        const auto found = refusals_.find(service);
+        return found != refusals_.end() && found->second > pressed_share;
+    }
+
     void on_request(const std::string& service, time_point now)
     {
         windows_[service].on_request(bounds_, now);
@@ -62,6 +83,7 @@
     std::uint32_t instances_ = 1;
     time_point extra_from_;
     std::unordered_map<std::string, retry_window> windows_;
+    std::unordered_map<std::string, double> refusals_;
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -105,7 +105,7 @@
     /// of the time that it had; then what is there goes.
     static constexpr int late_wait_divisor = 2;
     /// Refusals of one part after which it is given up.
-    static constexpr std::uint32_t max_refusals = 3;
+    static constexpr std::uint32_t max_refusals = 5;
 
     /// \param config Pinned for the life of the request.
     /// \param services One service for each part.
@@ -202,6 +202,8 @@
         std::uint8_t refusals = 0; ///< Attempts that surely did not run.
         time_point hedge_at = time_point::max();
         std::vector<replica_number> tried;
+        std::vector<replica_number>
+            refused; ///< Of `tried`; may be asked again.
     };
 
     [[nodiscard]] const forward_service& service_of(std::uint32_t part) const
--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -39,7 +39,7 @@
     static constexpr double cold_factor = 2.0;
     /// A failure or refusal costs about this many usual latencies.
     static constexpr double failure_cost = 8;
-    static constexpr double refusal_cost = 3;
+    static constexpr double refusal_cost = 5;
 
     replica_choice(
         upstream_catalog& catalog,
--- a/core/include/peridotward/core/placement/replica_health.hpp
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -21,6 +21,9 @@
 class replica_health
 {
 public:
+    /// Age up to which a told load stands for the present.
+    static constexpr milliseconds fresh_load{50};
+
     /// \brief Notes that a request was sent.
     void on_sent(time_point now) noexcept;
 
@@ -66,6 +69,20 @@
     /// as told lately.
     [[nodiscard]] double others_load(time_point now) const noexcept;
 
+    /// \returns Whether a request would find a slot free, as far as is known.
+    [[nodiscard]] bool
+    has_room(std::uint32_t slots, time_point now) const noexcept
+    {
+        return in_flight_ + others_load(now) < slots;
+    }
+
+    /// \returns Whether the replica has told of a free slot just now.
+    [[nodiscard]] bool
+    told_room(std::uint32_t slots, time_point now) const noexcept
+    {
+        return now - others_at_ < fresh_load && has_room(slots, now);
+    }
+
     /// \returns Whether connections fail and the next try is not yet due.
     [[nodiscard]] bool unreachable(time_point now) const noexcept
     {
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -87,8 +87,14 @@
         service, wanted.tried, profile.usual(), *tools.fleet, now);
     if (!chosen)
         return false;
+    const bool hedges = wanted.open > 0;
+    const auto& replica = tools.catalog->at(*chosen);
+    // A hedge helps only where it is served at once.
+    if (hedges && (tools.repeats->pressed(service.name) ||
+                   !replica.health.has_room(replica.published.slots, now)))
+        return false;
     const bool repeat = wanted.arrivals > 0;
-    const auto use = wanted.open > 0 ? repeat_use::hedge : repeat_use::retry;
+    const auto use = hedges ? repeat_use::hedge : repeat_use::retry;
     if (repeat && !tools.repeats->take(service.name, use, now))
         return false;
     wanted.tried.push_back(*chosen);
@@ -144,7 +150,23 @@
         route_->repeat == repeat_rule::idempotent || wanted.ran == 0;
     const bool tries_left =
         wanted.ran < route_->max_attempts && wanted.refusals < max_refusals;
-    if (!may_repeat || !tries_left || !send(part, tools, profile, now, out))
+    if (!may_repeat || !tries_left) {
+        give_up(part);
+        return;
+    }
+    if (send(part, tools, profile, now, out))
+        return;
+    // All were tried. One that refused although it tells of a free slot may
+    // take it now; one that is full must not be asked again at once.
+    std::erase_if(wanted.tried, [&](replica_number number) {
+        const auto& tried = tools.catalog->at(number);
+        const bool refused =
+            std::find(wanted.refused.begin(), wanted.refused.end(), number) !=
+            wanted.refused.end();
+        return refused && tried.health.told_room(tried.published.slots, now);
+    });
+    wanted.refused.clear();
+    if (!send(part, tools, profile, now, out))
         give_up(part);
 }
 
@@ -175,6 +197,8 @@
     auto& part = parts_[ended.part];
     --part.open;
     auto& health = tools.catalog->at(ended.to).health;
+    tools.repeats->on_attempt(
+        service_of(ended.part).name, outcome == forward_outcome::refused);
     switch (outcome) {
     case forward_outcome::answered:
         health.on_answered(now - ended.sent, profile.usual(), now);
@@ -190,6 +214,7 @@
         health.on_shed(now);
         --part.ran;
         ++part.refusals;
+        part.refused.push_back(ended.to);
         break;
     case forward_outcome::misdirected:
         health.on_unreachable(now);
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -24,13 +24,17 @@
         "show what one recent query did",
         peridotward::ctl::run_explain},
     verb{"load", "drive searches and measure", peridotward::ctl::run_load},
+    verb{
+        "experiment",
+        "play a load against the decisions of the gateway",
+        peridotward::ctl::run_experiment},
 };
 
 void print_usage(std::ostream& out)
 {
     out << "usage: peridotctl VERB ...\n\n";
     for (const auto& entry : verbs)
-        out << "  " << entry.name << std::string(10 - entry.name.size(), ' ')
+        out << "  " << entry.name << std::string(12 - entry.name.size(), ' ')
             << entry.summary << "\n";
     out << "\nperidotctl VERB --help describes one verb.\n"
            "exit codes: 0 done, 1 failed, 2 usage, 3 input, 4 transport\n";
--- a/ctl/src/verb.hpp
+++ b/ctl/src/verb.hpp
@@ -28,5 +28,6 @@
 exit_code run_dump(int argc, char** argv);
 exit_code run_explain(int argc, char** argv);
 exit_code run_load(int argc, char** argv);
+exit_code run_experiment(int argc, char** argv);
 
 } // namespace peridotward::ctl
--- a/tools/check_packages.sh
+++ b/tools/check_packages.sh
@@ -13,7 +13,7 @@
     [platform]="base config core gateway platform"
     [http]="base http"
     [instance]="base config core wire http instance"
-    [ctl]="base config http"
+    [ctl]="base config core http"
 )
 status=0
 for package in "${!allowed[@]}"; do
