--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -43,7 +43,8 @@
     const auto total = static_cast<double>(parts_.size());
     const double least = route_->scatters() ? route_->least_shard_share : 1.0;
     const auto reachable = parts_.size() - given_up_;
-    return reachable == 0 || reachable / total < least - share_tolerance;
+    return reachable == 0 ||
+           static_cast<double>(reachable) / total < least - share_tolerance;
 }
 
 forward_end forwarded_request::failure() const noexcept
--- a/soak/replicas.hpp
+++ b/soak/replicas.hpp
@@ -13,6 +13,9 @@
 
 namespace peridotward::soak {
 
+/// Share of answers that any replica breaks off at any time.
+inline constexpr double base_break_share = 0.005;
+
 /// One replica: what it is and how it misbehaves.
 struct replica_standin
 {
@@ -23,7 +26,7 @@
     std::uint16_t port = 0;
     std::uint16_t published_port = 0; ///< Of the proxy before it.
     double shed_share = 0;
-    double break_share = 0;
+    double break_share = base_break_share;
     double hang_share = 0;
     std::uint32_t running = 0;
     std::uint64_t born = 1;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -258,7 +258,7 @@
     hold(random, milliseconds{500}, 1500);
     on_world([&] {
         all[at]->shed_share = 0;
-        all[at]->break_share = 0;
+        all[at]->break_share = base_break_share;
         all[at]->hang_share = 0;
     });
 }
