--- a/tools/check_packages.sh
+++ b/tools/check_packages.sh
@@ -36,4 +36,10 @@
     echo "core: no clock, thread, randomness or input and output here"
     status=1
 fi
+# The platform's names are decoded once, in its adapter.
+if git grep -nE 'Peridotward-(Server|Part|Missing|Expect|Not-Exec|Deadline)|kv-(key|range|watch)|op/(config|evacuate)|warmupPerS|minShardShare' \
+    -- '*.cpp' '*.hpp' ':!platform/*' ':!*tests/*' ':!soak/*'; then
+    echo "a name of the platform outside platform/"
+    status=1
+fi
 exit $status
