Overdue links are collected before any is ended; one copy of log quoting

Cause, found by reading: upstream_pool::check walked its lists while the report of an ended attempt could send anew and change them: the vector of lists moved, and a link just added in front was walked again. Change: overdue links are collected first, then ended. The quoting of log values stood twice and is now in base.

--- a/core/src/experiment/forward_experiment.cpp
+++ b/core/src/experiment/forward_experiment.cpp
@@ -165,8 +165,10 @@
     }
     if (pattern == load_pattern::shedding) {
         for (std::uint32_t shard = 0; shard < size.shards; ++shard)
-            replicas_[shard * size.replicas + random_.below(size.replicas)]
-                .faulty = false;
+            replicas_
+                [static_cast<std::size_t>(shard) * size.replicas +
+                 random_.below(size.replicas)]
+                    .faulty = false;
     }
     build_instances(seed);
 }
--- a/gateway/include/peridotward/gateway/upstream_link.hpp
+++ b/gateway/include/peridotward/gateway/upstream_link.hpp
@@ -72,8 +72,12 @@
     /// \brief Ends the request at hand without a report.
     void abort();
 
-    /// \brief Ends what waited too long.
-    void check(time_point now);
+    /// \returns Whether the link waited too long: for its connection, an
+    /// answer, or the next request.
+    [[nodiscard]] bool overdue(time_point now) const noexcept;
+
+    /// \brief Ends an overdue link and reports the request that it owes.
+    void expire();
 
     [[nodiscard]] bool idle() const noexcept { return phase_ == phase::idle; }
     [[nodiscard]] bool usable_until(time_point now) const noexcept
--- a/gateway/src/event_log.cpp
+++ b/gateway/src/event_log.cpp
@@ -1,3 +1,4 @@
+#include <peridotward/base/log_text.hpp>
 #include <peridotward/gateway/event_log.hpp>
 
 #include <fcntl.h>
@@ -9,27 +10,6 @@
 
 namespace {
 
-bool needs_quotes(std::string_view value)
-{
-    return value.empty() ||
-           value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
-}
-
-void append_value(std::string& line, std::string_view value)
-{
-    if (!needs_quotes(value)) {
-        line += value;
-        return;
-    }
-    line += '"';
-    for (const char c : value) {
-        if (c == '"' || c == '\\')
-            line += '\\';
-        line += c == '\n' || c == '\r' ? ' ' : c;
-    }
-    line += '"';
-}
-
 std::string milliseconds_text(duration time)
 {
     const auto tenths =
@@ -110,7 +90,7 @@
         pending_ += ' ';
         pending_ += field.key;
         pending_ += '=';
-        append_value(pending_, field.value);
+        append_log_value(pending_, field.value);
     }
     pending_ += '\n';
 }
--- a/gateway/src/upstream_link.cpp
+++ b/gateway/src/upstream_link.cpp
@@ -275,17 +275,27 @@
     close();
 }
 
-void upstream_link::check(time_point now)
+bool upstream_link::overdue(time_point now) const noexcept
 {
-    const boost::intrusive_ptr<upstream_link> keep{this};
-    const bool connect_over =
-        phase_ == phase::connecting && now - began_ > connect_time;
-    const bool answer_over = phase_ == phase::busy && now > request_.give_up_at;
-    const bool idle_over = phase_ == phase::idle && now >= use_until_;
-    if (connect_over || answer_over)
-        on_end(false);
-    else if (idle_over)
+    switch (phase_) {
+    case phase::connecting:
+        return now - began_ > connect_time;
+    case phase::busy:
+        return now > request_.give_up_at;
+    case phase::idle:
+        return now >= use_until_;
+    case phase::closed:
+        break;
+    }
+    return false;
+}
+
+void upstream_link::expire()
+{
+    if (phase_ == phase::idle)
         close();
+    else if (phase_ != phase::closed)
+        on_end(false);
 }
 
 void upstream_link::close()
@@ -347,13 +357,16 @@
 
 void upstream_pool::check(time_point now)
 {
-    for (std::size_t number = 0; number < links_.size(); ++number) {
-        auto& known = links_[number];
-        for (auto at = known.begin(); at != known.end();) {
-            auto& link = *at++;
-            link.check(now);
+    // Reports may send anew, which changes the lists.
+    std::vector<boost::intrusive_ptr<upstream_link>> overdue;
+    for (auto& known : links_) {
+        for (auto& link : known) {
+            if (link.overdue(now))
+                overdue.emplace_back(&link);
         }
     }
+    for (const auto& link : overdue)
+        link->expire();
 }
 
 void upstream_pool::forget(replica_number number)
--- a/instance/src/log.cpp
+++ b/instance/src/log.cpp
@@ -1,5 +1,7 @@
 #include "log.hpp"
 
+#include <peridotward/base/log_text.hpp>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -26,27 +28,6 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-bool needs_quotes(std::string_view value)
-{
-    return value.empty() ||
-           value.find_first_of(" \t\r\n\"=") != std::string_view::npos;
-}
-
-void append_value(std::string& line, std::string_view value)
-{
-    if (!needs_quotes(value)) {
-        line += value;
-        return;
-    }
-    line += '"';
-    for (const char c : value) {
-        if (c == '"' || c == '\\')
-            line += '\\';
-        line += c == '\n' || c == '\r' ? ' ' : c;
-    }
-    line += '"';
-}
-
 log4cplus::SharedAppenderPtr make_appender(const log_settings& wanted)
 {
     if (wanted.file.empty())
@@ -92,12 +73,12 @@
     if (!root.isEnabledFor(library_level(level)))
         return;
     std::string line = "event=";
-    append_value(line, event);
+    append_log_value(line, event);
     for (const auto& field : fields) {
         line += ' ';
         line += field.key;
         line += '=';
-        append_value(line, field.value);
+        append_log_value(line, field.value);
     }
     root.log(library_level(level), line);
 }
