Divide core and instance by subject; log lines name civil time; explain by logs

Cause: both folders held some 30 files flat, so that a newcomer could not find the file to change by its folder. Lines of two machines could not be put in order: their only time counts from each process's own clock.

--- a/base/include/peridotward/base/log_text.hpp
+++ b/base/include/peridotward/base/log_text.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <peridotward/base/time.hpp>
+
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -9,4 +12,10 @@
 /// blanks, quotes or equals signs is quoted, and line ends become blanks.
 void append_log_value(std::string& line, std::string_view value);
 
+/// \brief Appends `YYYY-MM-DDTHH:MM:SS.mmmZ`.
+void append_log_time(std::string& line, wall_time time);
+
+/// \returns The time that `append_log_time` wrote, or nothing for other text.
+[[nodiscard]] std::optional<wall_time> log_time_in(std::string_view text);
+
 } // namespace peridotward
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -21,6 +21,14 @@
     target_link_libraries(peridotward_${name} PUBLIC ${ARGN})
 endfunction()
 
+# peridotward_rooms(NAME) adds the sources of a package that is divided by
+# subject, from src/*/*.cpp.
+function(peridotward_rooms name)
+    file(GLOB sources CONFIGURE_DEPENDS
+        ${CMAKE_CURRENT_SOURCE_DIR}/src/*/*.cpp)
+    target_sources(peridotward_${name} PRIVATE ${sources})
+endfunction()
+
 # peridotward_tests(NAME deps...) adds one test program from tests/*.cpp.
 function(peridotward_tests name)
     if(NOT BUILD_TESTING)
--- a/core/bench/decision_bench.cpp
+++ b/core/bench/decision_bench.cpp
@@ -1,7 +1,7 @@
 #include "../tests/search_bundles.hpp"
 
-#include <peridotward/core/adaptive_replica.hpp>
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <benchmark/benchmark.h>
 
--- a/core/include/peridotward/core/admission.hpp
+++ b/core/include/peridotward/core/admission/admission.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/admission_lane.hpp>
+#include <peridotward/core/admission/admission_lane.hpp>
 
 #include <map>
 #include <string>
--- a/core/include/peridotward/core/admission_lane.hpp
+++ b/core/include/peridotward/core/admission/admission_lane.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <peridotward/core/admission_types.hpp>
-#include <peridotward/core/concurrency_limit.hpp>
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/admission/admission_types.hpp>
+#include <peridotward/core/admission/concurrency_limit.hpp>
+#include <peridotward/core/placement/latency_sketch.hpp>
 
 #include <array>
 #include <vector>
--- a/core/include/peridotward/core/admission/load_meter.hpp
+++ b/core/include/peridotward/core/admission/load_meter.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/base/time.hpp>
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 namespace peridotward {
 
--- a/core/include/peridotward/core/electorate_change.hpp
+++ b/core/include/peridotward/core/budgets/electorate_change.hpp
@@ -2,7 +2,7 @@
 
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/electorate.hpp>
+#include <peridotward/core/budgets/electorate.hpp>
 
 #include <string>
 #include <string_view>
--- a/core/include/peridotward/core/lease_controller.hpp
+++ b/core/include/peridotward/core/budgets/lease_controller.hpp
@@ -3,11 +3,11 @@
 #include <peridotward/base/random.hpp>
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/electorate.hpp>
-#include <peridotward/core/electorate_change.hpp>
-#include <peridotward/core/fleet_timing.hpp>
-#include <peridotward/core/membership.hpp>
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/budgets/electorate.hpp>
+#include <peridotward/core/budgets/electorate_change.hpp>
+#include <peridotward/core/membership/fleet_timing.hpp>
+#include <peridotward/core/membership/membership.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <array>
 #include <cstdint>
--- a/core/include/peridotward/core/upstream_budgets.hpp
+++ b/core/include/peridotward/core/budgets/upstream_budgets.hpp
@@ -3,12 +3,12 @@
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
-#include <peridotward/core/attempt.hpp>
-#include <peridotward/core/domain_shares.hpp>
-#include <peridotward/core/fleet_timing.hpp>
-#include <peridotward/core/lease_controller.hpp>
-#include <peridotward/core/usual_time.hpp>
-#include <peridotward/core/warmth.hpp>
+#include <peridotward/core/budgets/domain_shares.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
+#include <peridotward/core/membership/fleet_timing.hpp>
+#include <peridotward/core/placement/usual_time.hpp>
+#include <peridotward/core/placement/warmth.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <tl/expected.hpp>
 
--- a/core/include/peridotward/core/config_read.hpp
+++ b/core/include/peridotward/core/configuration/config_read.hpp
@@ -3,7 +3,7 @@
 #include <peridotward/base/error.hpp>
 #include <peridotward/base/names.hpp>
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <array>
 #include <cstdint>
--- a/core/include/peridotward/core/config_store.hpp
+++ b/core/include/peridotward/core/configuration/config_store.hpp
@@ -4,7 +4,7 @@
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle_parts.hpp>
 #include <peridotward/config/sign_off.hpp>
-#include <peridotward/core/config_read.hpp>
+#include <peridotward/core/configuration/config_read.hpp>
 
 #include <deque>
 #include <map>
--- a/core/include/peridotward/core/discovery/feed_plan.hpp
+++ b/core/include/peridotward/core/discovery/feed_plan.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/membership.hpp>
+#include <peridotward/core/membership/membership.hpp>
 
 #include <cstddef>
 #include <string>
--- a/core/include/peridotward/core/gather/latency_profile.hpp
+++ b/core/include/peridotward/core/gather/latency_profile.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/placement/latency_sketch.hpp>
 
 namespace peridotward {
 
--- a/core/include/peridotward/core/membership.hpp
+++ b/core/include/peridotward/core/membership/membership.hpp
@@ -4,8 +4,8 @@
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
-#include <peridotward/core/fleet_timing.hpp>
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/fleet_timing.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/core/include/peridotward/core/peer_message.hpp
+++ b/core/include/peridotward/core/membership/peer_message.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/base/endpoint.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <cstdint>
 #include <string>
--- a/core/include/peridotward/core/adaptive_replica.hpp
+++ b/core/include/peridotward/core/placement/adaptive_replica.hpp
@@ -2,10 +2,10 @@
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/bundle_translation.hpp>
-#include <peridotward/core/replica_policy.hpp>
-#include <peridotward/core/replica_stats.hpp>
-#include <peridotward/core/snapshot_tracker.hpp>
+#include <peridotward/core/configuration/bundle_translation.hpp>
+#include <peridotward/core/placement/replica_policy.hpp>
+#include <peridotward/core/placement/replica_stats.hpp>
+#include <peridotward/core/query/snapshot_tracker.hpp>
 
 #include <optional>
 
--- a/core/include/peridotward/core/random_replica.hpp
+++ b/core/include/peridotward/core/placement/random_replica.hpp
@@ -2,7 +2,7 @@
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/replica_policy.hpp>
+#include <peridotward/core/placement/replica_policy.hpp>
 
 #include <algorithm>
 #include <optional>
--- a/core/include/peridotward/core/replica_stats.hpp
+++ b/core/include/peridotward/core/placement/replica_stats.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/attempt.hpp>
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/placement/latency_sketch.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <vector>
 
--- a/core/include/peridotward/core/warmth.hpp
+++ b/core/include/peridotward/core/placement/warmth.hpp
@@ -3,7 +3,7 @@
 #include <peridotward/base/names.hpp>
 #include <peridotward/base/time.hpp>
 #include <peridotward/config/bundle_types.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <array>
 #include <cstdint>
--- a/core/include/peridotward/core/answer_check.hpp
+++ b/core/include/peridotward/core/query/answer_check.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/base/json.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <string_view>
 
--- a/core/include/peridotward/core/query.hpp
+++ b/core/include/peridotward/core/query/query.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <peridotward/core/query_actions.hpp>
-#include <peridotward/core/query_plan.hpp>
-#include <peridotward/core/query_policy.hpp>
-#include <peridotward/core/wakeup_queue.hpp>
+#include <peridotward/core/query/query_actions.hpp>
+#include <peridotward/core/query/query_plan.hpp>
+#include <peridotward/core/query/query_policy.hpp>
+#include <peridotward/core/query/wakeup_queue.hpp>
 
 #include <array>
 #include <optional>
@@ -228,4 +228,4 @@
 
 } // namespace peridotward
 
-#include <peridotward/core/query_impl.hpp>
+#include <peridotward/core/query/query_impl.hpp>
--- a/core/include/peridotward/core/query_actions.hpp
+++ b/core/include/peridotward/core/query/query_actions.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <vector>
 
--- a/core/include/peridotward/core/query_impl.hpp
+++ b/core/include/peridotward/core/query/query_impl.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <algorithm>
 
--- a/core/include/peridotward/core/query_policy.hpp
+++ b/core/include/peridotward/core/query/query_policy.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <peridotward/base/random.hpp>
-#include <peridotward/core/hedge_budget.hpp>
-#include <peridotward/core/hedge_delay.hpp>
-#include <peridotward/core/replica_policy.hpp>
+#include <peridotward/core/placement/replica_policy.hpp>
+#include <peridotward/core/query/hedge_budget.hpp>
+#include <peridotward/core/query/hedge_delay.hpp>
 
 namespace peridotward {
 
--- a/core/include/peridotward/core/snapshot_tracker.hpp
+++ b/core/include/peridotward/core/query/snapshot_tracker.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <compare>
 #include <optional>
--- a/core/src/admission_lane.cpp
+++ b/core/src/admission/admission_lane.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/admission_lane.hpp>
+#include <peridotward/core/admission/admission_lane.hpp>
 
 #include <algorithm>
 
--- a/core/src/domain_shares.cpp
+++ b/core/src/budgets/domain_shares.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/domain_shares.hpp>
+#include <peridotward/core/budgets/domain_shares.hpp>
 
 #include <algorithm>
 #include <string_view>
--- a/core/src/electorate.cpp
+++ b/core/src/budgets/electorate.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/hash.hpp>
-#include <peridotward/core/electorate.hpp>
+#include <peridotward/core/budgets/electorate.hpp>
 
 #include <algorithm>
 
--- a/core/src/electorate_change.cpp
+++ b/core/src/budgets/electorate_change.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/electorate_change.hpp>
+#include <peridotward/core/budgets/electorate_change.hpp>
 
 #include <algorithm>
 
--- a/core/src/lease_controller.cpp
+++ b/core/src/budgets/lease_controller.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/lease_controller.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
 
 #include <algorithm>
 
--- a/core/src/lease_holder.cpp
+++ b/core/src/budgets/lease_holder.cpp
@@ -1,6 +1,6 @@
 // The holder's half of lease_controller: when to ask, renew and give up.
 
-#include <peridotward/core/lease_controller.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
 
 #include <algorithm>
 
--- a/core/src/lease_voter.cpp
+++ b/core/src/budgets/lease_voter.cpp
@@ -1,6 +1,6 @@
 // The voter's half of lease_controller: whom the own seat's votes go to.
 
-#include <peridotward/core/lease_controller.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
 
 #include <algorithm>
 
--- a/core/src/upstream_budgets.cpp
+++ b/core/src/budgets/upstream_budgets.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/budgets/upstream_budgets.hpp>
 
 #include <algorithm>
 #include <string_view>
--- a/core/src/bundle_translation.cpp
+++ b/core/src/configuration/bundle_translation.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/bundle_translation.hpp>
+#include <peridotward/core/configuration/bundle_translation.hpp>
 
 #include <string_view>
 #include <unordered_map>
--- a/core/src/config_store.cpp
+++ b/core/src/configuration/config_store.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/hash.hpp>
-#include <peridotward/core/config_store.hpp>
+#include <peridotward/core/configuration/config_store.hpp>
 
 #include <algorithm>
 
--- a/core/src/config_transfer.cpp
+++ b/core/src/configuration/config_transfer.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/config_store.hpp>
+#include <peridotward/core/configuration/config_store.hpp>
 
 #include <algorithm>
 
--- a/core/src/entry_id.cpp
+++ b/core/src/entries/entry_id.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/entry_id.hpp>
+#include <peridotward/core/entries/entry_id.hpp>
 
 #include <charconv>
 #include <cstdint>
--- a/core/src/entry_router.cpp
+++ b/core/src/entries/entry_router.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/hash.hpp>
-#include <peridotward/core/entry_router.hpp>
+#include <peridotward/core/entries/entry_router.hpp>
 
 namespace peridotward {
 
--- a/core/src/entry_window.cpp
+++ b/core/src/entries/entry_window.cpp
@@ -1,5 +1,5 @@
-#include <peridotward/core/entry_id.hpp>
-#include <peridotward/core/entry_window.hpp>
+#include <peridotward/core/entries/entry_id.hpp>
+#include <peridotward/core/entries/entry_window.hpp>
 
 #include <algorithm>
 
--- a/core/src/entry_selector.cpp
+++ b/core/src/membership/entry_selector.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/hash.hpp>
-#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
 
 #include <algorithm>
 #include <iterator>
--- a/core/src/membership.cpp
+++ b/core/src/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/membership.hpp>
+#include <peridotward/core/membership/membership.hpp>
 
 #include <algorithm>
 
--- a/core/src/membership_probes.cpp
+++ b/core/src/membership/membership_probes.cpp
@@ -1,6 +1,6 @@
 // The timed half of membership: probes, suspicion and what they carry.
 
-#include <peridotward/core/membership.hpp>
+#include <peridotward/core/membership/membership.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/core/src/adaptive_replica.cpp
+++ b/core/src/placement/adaptive_replica.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/adaptive_replica.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
 
 #include <algorithm>
 #include <array>
--- a/core/src/latency_sketch.cpp
+++ b/core/src/placement/latency_sketch.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/placement/latency_sketch.hpp>
 
 #include <algorithm>
 #include <bit>
--- a/core/src/replica_stats.cpp
+++ b/core/src/placement/replica_stats.cpp
@@ -1,5 +1,5 @@
-#include <peridotward/core/bundle_translation.hpp>
-#include <peridotward/core/replica_stats.hpp>
+#include <peridotward/core/configuration/bundle_translation.hpp>
+#include <peridotward/core/placement/replica_stats.hpp>
 
 #include <algorithm>
 
--- a/core/src/warmth.cpp
+++ b/core/src/placement/warmth.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/warmth.hpp>
+#include <peridotward/core/placement/warmth.hpp>
 
 #include <algorithm>
 
--- a/core/src/answer_check.cpp
+++ b/core/src/query/answer_check.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/answer_check.hpp>
+#include <peridotward/core/query/answer_check.hpp>
 
 #include <optional>
 
--- a/core/src/query.cpp
+++ b/core/src/query/query.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <algorithm>
 
--- a/core/src/query_plan.cpp
+++ b/core/src/query/query_plan.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/range_set.hpp>
-#include <peridotward/core/query_plan.hpp>
+#include <peridotward/core/query/query_plan.hpp>
 
 namespace peridotward {
 
--- a/core/src/snapshot_tracker.cpp
+++ b/core/src/query/snapshot_tracker.cpp
@@ -1,5 +1,5 @@
-#include <peridotward/core/bundle_translation.hpp>
-#include <peridotward/core/snapshot_tracker.hpp>
+#include <peridotward/core/configuration/bundle_translation.hpp>
+#include <peridotward/core/query/snapshot_tracker.hpp>
 
 #include <algorithm>
 #include <set>
--- a/core/tests/admission_test.cpp
+++ b/core/tests/admission_test.cpp
@@ -1,5 +1,5 @@
 #include <peridotward/base/random.hpp>
-#include <peridotward/core/admission.hpp>
+#include <peridotward/core/admission/admission.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/core/tests/config_fleet.hpp
+++ b/core/tests/config_fleet.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/config_store.hpp>
+#include <peridotward/core/configuration/config_store.hpp>
 
 #include <algorithm>
 #include <functional>
--- a/core/tests/entry_naming_test.cpp
+++ b/core/tests/entry_naming_test.cpp
@@ -1,6 +1,6 @@
 #include <peridotward/core/admission/load_meter.hpp>
 #include <peridotward/core/budgets/connection_share.hpp>
-#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/core/tests/entry_test.cpp
+++ b/core/tests/entry_test.cpp
@@ -1,8 +1,8 @@
 #include <peridotward/base/random.hpp>
-#include <peridotward/core/entry_id.hpp>
-#include <peridotward/core/entry_router.hpp>
-#include <peridotward/core/entry_selector.hpp>
-#include <peridotward/core/entry_window.hpp>
+#include <peridotward/core/entries/entry_id.hpp>
+#include <peridotward/core/entries/entry_router.hpp>
+#include <peridotward/core/entries/entry_window.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/core/tests/fleet_budget_test.cpp
+++ b/core/tests/fleet_budget_test.cpp
@@ -1,7 +1,7 @@
 #include "fleet_world.hpp"
 
-#include <peridotward/core/domain_shares.hpp>
-#include <peridotward/core/warmth.hpp>
+#include <peridotward/core/budgets/domain_shares.hpp>
+#include <peridotward/core/placement/warmth.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/core/tests/fleet_world.hpp
+++ b/core/tests/fleet_world.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <peridotward/core/lease_controller.hpp>
-#include <peridotward/core/membership.hpp>
-#include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
+#include <peridotward/core/budgets/upstream_budgets.hpp>
+#include <peridotward/core/membership/membership.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/core/tests/query_cost_test.cpp
+++ b/core/tests/query_cost_test.cpp
@@ -1,8 +1,8 @@
 #include "allocation_counter.hpp"
 #include "search_bundles.hpp"
 
-#include <peridotward/core/adaptive_replica.hpp>
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/core/tests/query_fuzz_world.hpp
+++ b/core/tests/query_fuzz_world.hpp
@@ -2,8 +2,8 @@
 
 #include "search_bundles.hpp"
 
-#include <peridotward/core/adaptive_replica.hpp>
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <array>
 #include <map>
--- a/core/tests/query_simulation.cpp
+++ b/core/tests/query_simulation.cpp
@@ -1,10 +1,10 @@
 #include "query_simulation.hpp"
 #include "search_bundles.hpp"
 
-#include <peridotward/core/adaptive_replica.hpp>
-#include <peridotward/core/admission_lane.hpp>
-#include <peridotward/core/query.hpp>
-#include <peridotward/core/random_replica.hpp>
+#include <peridotward/core/admission/admission_lane.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
+#include <peridotward/core/placement/random_replica.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/core/tests/query_test.cpp
+++ b/core/tests/query_test.cpp
@@ -1,5 +1,5 @@
-#include <peridotward/core/answer_check.hpp>
-#include <peridotward/core/query_plan.hpp>
+#include <peridotward/core/query/answer_check.hpp>
+#include <peridotward/core/query/query_plan.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/ctl/src/operator_verbs.cpp
+++ b/ctl/src/operator_verbs.cpp
@@ -1,11 +1,14 @@
 #include "fetch.hpp"
+#include "log_story.hpp"
 #include "options.hpp"
 #include "render.hpp"
 #include "verb.hpp"
 
 #include <peridotward/base/json.hpp>
 
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <sstream>
 
 namespace peridotward::ctl {
@@ -20,10 +23,15 @@
 
 constexpr std::string_view explain_usage =
     "usage: peridotctl explain --at HOST:PORT[,...] REQUEST_ID\n"
+    "       peridotctl explain REQUEST_ID --logs FILE...\n"
     "\n"
     "Shows what one recent query did: its plan, attempts, hedges, snapshot\n"
     "and missing ranges. All given instances are asked; exits with 1 when\n"
-    "none of them knows the request.\n";
+    "none of them knows the request.\n"
+    "\n"
+    "With --logs: joins the lines of a gateway's request from the logs of all\n"
+    "instances in time order, with what its instance came to believe shortly\n"
+    "before, and says what they show. Exits with 1 when no line names it.\n";
 
 constexpr std::uint16_t http_ok = 200;
 
@@ -87,6 +95,36 @@
     return enough ? exit_code::done : exit_code::failed;
 }
 
+/// Prints the lines of one request and what they say, from files.
+exit_code explain_from_logs(
+    const std::string& request, const std::vector<std::string>& paths)
+{
+    log_story logs;
+    for (const auto& path : paths) {
+        std::ifstream file{path};
+        if (!file) {
+            std::cerr << "peridotctl: " << path << ": cannot be read\n";
+            return exit_code::input;
+        }
+        const std::string text{
+            std::istreambuf_iterator<char>{file},
+            std::istreambuf_iterator<char>{}};
+        logs.read(text);
+    }
+    const auto story = logs.of(request);
+    if (logs.unreadable() > 0)
+        std::cerr << "peridotctl: " << logs.unreadable()
+                  << " lines are not of a gateway's log; left out\n";
+    if (story.empty()) {
+        std::cerr << "peridotctl: no line names request " << request << "\n";
+        return exit_code::failed;
+    }
+    for (const auto& line : story)
+        std::cout << render(line) << "\n";
+    std::cout << log_story::verdict(story) << "\n";
+    return exit_code::done;
+}
+
 } // namespace
 
 exit_code run_dump(int argc, char** argv)
@@ -107,14 +145,21 @@
 exit_code run_explain(int argc, char** argv)
 {
     const auto parsed = parse_options(
-        argc, argv, {{"at", true}, {"json", false}}, explain_usage);
+        argc,
+        argv,
+        {{"at", true}, {"json", false}, {"logs", false}},
+        explain_usage);
     if (!parsed)
         return help_was_asked() ? exit_code::done : exit_code::usage;
-    if (parsed->words().size() != 1) {
+    const auto& words = parsed->words();
+    if (parsed->has("logs") && words.size() > 1 && !parsed->has("at"))
+        return explain_from_logs(
+            words.front(), {words.begin() + 1, words.end()});
+    if (parsed->has("logs") || words.size() != 1) {
         std::cerr << explain_usage;
         return exit_code::usage;
     }
-    return print_answers(*parsed, "/v1/explain/" + parsed->words()[0], false);
+    return print_answers(*parsed, "/v1/explain/" + words.front(), false);
 }
 
 } // namespace peridotward::ctl
--- a/gateway/include/peridotward/gateway/counters.hpp
+++ b/gateway/include/peridotward/gateway/counters.hpp
@@ -2,7 +2,7 @@
 
 #include <peridotward/base/time.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
-#include <peridotward/core/latency_sketch.hpp>
+#include <peridotward/core/placement/latency_sketch.hpp>
 
 #include <array>
 #include <cstdint>
--- a/gateway/include/peridotward/gateway/event_log.hpp
+++ b/gateway/include/peridotward/gateway/event_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/base/clock.hpp>
 #include <peridotward/base/names.hpp>
 #include <peridotward/base/time.hpp>
 
@@ -36,7 +37,11 @@
     std::string value;
 };
 
-/// \brief Structured log on standard output: `t=... event=NAME key=value`.
+/// \brief Structured log on standard output:
+/// `time=CIVIL t=MICROSECONDS instance=ID event=NAME key=value ...`.
+///
+/// \remarks `t` orders the lines of one process; `time` places them among
+/// those of other machines, as well as their clocks agree.
 ///
 /// \remarks Never blocks. What the reader of standard output does not take, or
 /// what passes the budget of a second, is dropped and counted; the counts are
@@ -51,7 +56,8 @@
     /// Bytes kept while standard output is not read.
     static constexpr std::size_t most_pending = 262144;
 
-    event_log(int descriptor, std::string instance);
+    /// \param time Read for `time` only; must outlive the log.
+    event_log(int descriptor, std::string instance, const clock& time);
 
     void write(
         time_point now,
@@ -77,6 +83,7 @@
 
     int descriptor_;
     std::string instance_;
+    const clock* clock_;
     std::string pending_;
     time_point second_;
     std::uint32_t written_ = 0;
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <peridotward/core/entry_selector.hpp>
-#include <peridotward/core/membership.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
+#include <peridotward/core/membership/membership.hpp>
 #include <peridotward/gateway/event_log.hpp>
 #include <peridotward/gateway/gateway_settings.hpp>
 #include <peridotward/gateway/reactor.hpp>
--- a/gateway/src/event_log.cpp
+++ b/gateway/src/event_log.cpp
@@ -24,8 +24,8 @@
     : key{name}, value{milliseconds_text(time)}
 {}
 
-event_log::event_log(int descriptor, std::string instance)
-    : descriptor_{descriptor}, instance_{std::move(instance)}
+event_log::event_log(int descriptor, std::string instance, const clock& time)
+    : descriptor_{descriptor}, instance_{std::move(instance)}, clock_{&time}
 {
     const int flags = ::fcntl(descriptor_, F_GETFL);
     if (flags >= 0)
@@ -78,7 +78,9 @@
     std::string_view event,
     std::initializer_list<event_field> fields)
 {
-    pending_ += "t=";
+    pending_ += "time=";
+    append_log_time(pending_, clock_->wall());
+    pending_ += " t=";
     pending_ += std::to_string(
         std::chrono::duration_cast<microseconds>(now.time_since_epoch())
             .count());
--- a/gateway/tests/event_log_test.cpp
+++ b/gateway/tests/event_log_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr time_point start{std::chrono::hours{1}};
+const manual_clock civil;
 
 struct log_pipe
 {
@@ -38,7 +39,7 @@
 TEST_CASE("log: a line holds its fields", "[log]")
 {
     log_pipe pipe;
-    event_log log{pipe.ends[1], "i-1"};
+    event_log log{pipe.ends[1], "i-1", civil};
     log.write(
         start,
         event_rank::notable,
@@ -46,15 +47,15 @@
         {{"request", "a b"}, {"took", milliseconds{12}}, {"parts", 10}});
     log.flush();
     CHECK(
-        pipe.read() ==
-        "t=3600000000 instance=i-1 event=request_end request=\"a b\" "
-        "took=12.0ms parts=10\n");
+        pipe.read() == "time=1970-01-01T01:00:00.000Z t=3600000000 "
+                       "instance=i-1 event=request_end "
+                       "request=\"a b\" took=12.0ms parts=10\n");
 }
 
 TEST_CASE("log: a pipe that nobody reads blocks nothing", "[log]")
 {
     log_pipe pipe;
-    event_log log{pipe.ends[1], "i-1"};
+    event_log log{pipe.ends[1], "i-1", civil};
     // Without this test's bound the writes would block for ever.
     for (int second = 0; second < 200; ++second) {
         for (int i = 0; i < 300; ++i)
@@ -71,7 +72,7 @@
 TEST_CASE("log: routine lines leave room to notable ones", "[log]")
 {
     log_pipe pipe;
-    event_log log{pipe.ends[1], "i-1"};
+    event_log log{pipe.ends[1], "i-1", civil};
     std::uint32_t routine = 0;
     while (log.wants_routine(start)) {
         log.write(start, event_rank::routine, "usual", {});
--- a/instance/src/caller_api.cpp
+++ b/instance/src/callers/caller_api.cpp
@@ -1,6 +1,6 @@
-#include "caller_api.hpp"
+#include "callers/caller_api.hpp"
 
-#include <peridotward/core/entry_selector.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
 
 namespace peridotward {
 
--- a/instance/src/caller_api.hpp
+++ b/instance/src/callers/caller_api.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "filters.hpp"
-#include "record_runner.hpp"
-#include "search_runner.hpp"
+#include "callers/filters.hpp"
+#include "entries/record_runner.hpp"
+#include "search/search_runner.hpp"
 
-#include <peridotward/core/entry_selector.hpp>
-#include <peridotward/core/membership.hpp>
+#include <peridotward/core/membership/entry_selector.hpp>
+#include <peridotward/core/membership/membership.hpp>
 
 #include <string>
 #include <unordered_map>
--- a/instance/src/filter_chain.hpp
+++ b/instance/src/callers/filter_chain.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request_context.hpp"
+#include "callers/request_context.hpp"
 
 #include <concepts>
 #include <tuple>
--- a/instance/src/filters.cpp
+++ b/instance/src/callers/filters.cpp
@@ -1,4 +1,4 @@
-#include "filters.hpp"
+#include "callers/filters.hpp"
 
 #include <peridotward/config/sha256.hpp>
 
--- a/instance/src/filters.hpp
+++ b/instance/src/callers/filters.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "filter_chain.hpp"
+#include "callers/filter_chain.hpp"
 
 namespace peridotward {
 
--- a/instance/src/request_context.cpp
+++ b/instance/src/callers/request_context.cpp
@@ -1,4 +1,4 @@
-#include "request_context.hpp"
+#include "callers/request_context.hpp"
 
 namespace peridotward {
 
--- a/instance/src/search_arguments.cpp
+++ b/instance/src/callers/search_arguments.cpp
@@ -1,4 +1,4 @@
-#include "search_arguments.hpp"
+#include "callers/search_arguments.hpp"
 
 namespace peridotward {
 
--- a/instance/src/config_dump.cpp
+++ b/instance/src/configuration/config_dump.cpp
@@ -1,4 +1,4 @@
-#include "config_dump.hpp"
+#include "configuration/config_dump.hpp"
 
 namespace peridotward {
 
--- a/instance/src/config_keeper.cpp
+++ b/instance/src/configuration/config_keeper.cpp
@@ -1,4 +1,4 @@
-#include "config_keeper.hpp"
+#include "configuration/config_keeper.hpp"
 #include "log.hpp"
 
 #include <charconv>
--- a/instance/src/config_keeper.hpp
+++ b/instance/src/configuration/config_keeper.hpp
@@ -2,7 +2,7 @@
 
 #include "node_state.hpp"
 
-#include <peridotward/core/config_store.hpp>
+#include <peridotward/core/configuration/config_store.hpp>
 
 #include <functional>
 #include <optional>
--- a/instance/src/config_link.cpp
+++ b/instance/src/configuration/config_link.cpp
@@ -1,4 +1,4 @@
-#include "config_link.hpp"
+#include "configuration/config_link.hpp"
 
 namespace peridotward {
 
--- a/instance/src/config_link.hpp
+++ b/instance/src/configuration/config_link.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "config_keeper.hpp"
-#include "fleet_runner.hpp"
+#include "configuration/config_keeper.hpp"
+#include "fleet/fleet_runner.hpp"
 
 namespace peridotward {
 
--- a/instance/src/platform_reader.cpp
+++ b/instance/src/configuration/platform_reader.cpp
@@ -1,5 +1,5 @@
+#include "configuration/platform_reader.hpp"
 #include "log.hpp"
-#include "platform_reader.hpp"
 
 namespace peridotward {
 
--- a/instance/src/platform_reader.hpp
+++ b/instance/src/configuration/platform_reader.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "config_keeper.hpp"
+#include "configuration/config_keeper.hpp"
 
 namespace peridotward {
 
--- a/instance/src/entry_gate.hpp
+++ b/instance/src/entries/entry_gate.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/config/bundle_types.hpp>
-#include <peridotward/core/entry_window.hpp>
+#include <peridotward/core/entries/entry_window.hpp>
 
 #include <string_view>
 
--- a/instance/src/entry_keeper.cpp
+++ b/instance/src/entries/entry_keeper.cpp
@@ -1,4 +1,4 @@
-#include "entry_keeper.hpp"
+#include "entries/entry_keeper.hpp"
 
 namespace peridotward {
 
--- a/instance/src/entry_keeper.hpp
+++ b/instance/src/entries/entry_keeper.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "entry_gate.hpp"
+#include "entries/entry_gate.hpp"
 #include "node_state.hpp"
 
-#include <peridotward/core/entry_router.hpp>
-#include <peridotward/core/entry_window.hpp>
+#include <peridotward/core/entries/entry_router.hpp>
+#include <peridotward/core/entries/entry_window.hpp>
 
 #include <string>
 #include <unordered_map>
--- a/instance/src/record_port.cpp
+++ b/instance/src/entries/record_port.cpp
@@ -1,4 +1,4 @@
-#include "record_port.hpp"
+#include "entries/record_port.hpp"
 
 #include <algorithm>
 
--- a/instance/src/record_port.hpp
+++ b/instance/src/entries/record_port.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "upstream_executor.hpp"
+#include "upstreams/upstream_executor.hpp"
 
 #include <functional>
 #include <string>
--- a/instance/src/record_runner.cpp
+++ b/instance/src/entries/record_runner.cpp
@@ -1,7 +1,7 @@
-#include "record_runner.hpp"
+#include "entries/record_runner.hpp"
 
-#include <peridotward/core/entry_id.hpp>
-#include <peridotward/core/random_replica.hpp>
+#include <peridotward/core/entries/entry_id.hpp>
+#include <peridotward/core/placement/random_replica.hpp>
 
 namespace peridotward {
 
--- a/instance/src/record_runner.hpp
+++ b/instance/src/entries/record_runner.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "entry_keeper.hpp"
-#include "record_port.hpp"
-#include "request_context.hpp"
+#include "callers/request_context.hpp"
+#include "entries/entry_keeper.hpp"
+#include "entries/record_port.hpp"
 
 #include <functional>
 
--- a/instance/src/fleet_dump.cpp
+++ b/instance/src/fleet/fleet_dump.cpp
@@ -1,4 +1,4 @@
-#include "fleet_dump.hpp"
+#include "fleet/fleet_dump.hpp"
 
 namespace peridotward {
 
--- a/instance/src/fleet_dump.hpp
+++ b/instance/src/fleet/fleet_dump.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet_runner.hpp"
+#include "fleet/fleet_runner.hpp"
 
 #include <peridotward/base/json.hpp>
 
--- a/instance/src/fleet_runner.cpp
+++ b/instance/src/fleet/fleet_runner.cpp
@@ -1,4 +1,4 @@
-#include "fleet_runner.hpp"
+#include "fleet/fleet_runner.hpp"
 #include "log.hpp"
 
 namespace peridotward {
--- a/instance/src/fleet_runner.hpp
+++ b/instance/src/fleet/fleet_runner.hpp
@@ -2,9 +2,9 @@
 
 #include "node_state.hpp"
 
-#include <peridotward/core/lease_controller.hpp>
-#include <peridotward/core/membership.hpp>
-#include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/budgets/lease_controller.hpp>
+#include <peridotward/core/budgets/upstream_budgets.hpp>
+#include <peridotward/core/membership/membership.hpp>
 #include <peridotward/wire/peer_link.hpp>
 
 #include <array>
--- a/instance/src/node.cpp
+++ b/instance/src/node.cpp
@@ -1,12 +1,12 @@
-#include "caller_api.hpp"
-#include "config_link.hpp"
-#include "entry_keeper.hpp"
+#include "callers/caller_api.hpp"
+#include "configuration/config_link.hpp"
+#include "configuration/platform_reader.hpp"
+#include "entries/entry_keeper.hpp"
 #include "log.hpp"
-#include "operator_api.hpp"
-#include "owner_desk.hpp"
-#include "owner_port.hpp"
-#include "platform_reader.hpp"
-#include "upstream_watch.hpp"
+#include "operators/operator_api.hpp"
+#include "owners/owner_desk.hpp"
+#include "owners/owner_port.hpp"
+#include "upstreams/upstream_watch.hpp"
 
 #include <peridotward/base/clock.hpp>
 #include <peridotward/http/http_server.hpp>
--- a/instance/src/node_state.hpp
+++ b/instance/src/node_state.hpp
@@ -1,17 +1,17 @@
 #pragma once
 
 #include "event_loop.hpp"
-#include "metrics.hpp"
-#include "query_trace.hpp"
+#include "operators/metrics.hpp"
+#include "search/query_trace.hpp"
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/config/bundle.hpp>
 #include <peridotward/config/instance_list.hpp>
 #include <peridotward/config/settings.hpp>
-#include <peridotward/core/config_store.hpp>
-#include <peridotward/core/hedge_budget.hpp>
-#include <peridotward/core/replica_stats.hpp>
-#include <peridotward/core/snapshot_tracker.hpp>
+#include <peridotward/core/configuration/config_store.hpp>
+#include <peridotward/core/placement/replica_stats.hpp>
+#include <peridotward/core/query/hedge_budget.hpp>
+#include <peridotward/core/query/snapshot_tracker.hpp>
 
 #include <string>
 #include <unordered_set>
--- a/instance/src/metrics.cpp
+++ b/instance/src/operators/metrics.cpp
@@ -1,4 +1,4 @@
-#include "metrics.hpp"
+#include "operators/metrics.hpp"
 
 namespace peridotward {
 
--- a/instance/src/operator_api.cpp
+++ b/instance/src/operators/operator_api.cpp
@@ -1,7 +1,7 @@
-#include "config_dump.hpp"
-#include "fleet_dump.hpp"
+#include "configuration/config_dump.hpp"
+#include "fleet/fleet_dump.hpp"
 #include "log.hpp"
-#include "operator_api.hpp"
+#include "operators/operator_api.hpp"
 
 namespace peridotward {
 
--- a/instance/src/operator_api.hpp
+++ b/instance/src/operators/operator_api.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "caller_api.hpp"
-#include "fleet_runner.hpp"
+#include "callers/caller_api.hpp"
+#include "fleet/fleet_runner.hpp"
 
 namespace peridotward {
 
--- a/instance/src/owner_desk.cpp
+++ b/instance/src/owners/owner_desk.cpp
@@ -1,5 +1,5 @@
-#include "owner_desk.hpp"
-#include "owner_port.hpp"
+#include "owners/owner_desk.hpp"
+#include "owners/owner_port.hpp"
 
 #include <algorithm>
 
--- a/instance/src/owner_port.cpp
+++ b/instance/src/owners/owner_port.cpp
@@ -1,4 +1,4 @@
-#include "owner_port.hpp"
+#include "owners/owner_port.hpp"
 
 #include <algorithm>
 
--- a/instance/src/owner_port.hpp
+++ b/instance/src/owners/owner_port.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "attempt_port.hpp"
-#include "upstream_executor.hpp"
+#include "search/attempt_port.hpp"
+#include "upstreams/upstream_executor.hpp"
 
 #include <map>
 #include <memory>
--- a/instance/src/slot_queue.cpp
+++ b/instance/src/owners/slot_queue.cpp
@@ -1,4 +1,4 @@
-#include "slot_queue.hpp"
+#include "owners/slot_queue.hpp"
 
 namespace peridotward {
 
--- a/instance/src/slot_queue.hpp
+++ b/instance/src/owners/slot_queue.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/upstream_budgets.hpp>
+#include <peridotward/core/budgets/upstream_budgets.hpp>
 
 #include <cstdint>
 #include <functional>
--- a/instance/src/attempt_port.hpp
+++ b/instance/src/search/attempt_port.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "upstream_gateway.hpp"
+#include "upstreams/upstream_gateway.hpp"
 
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <functional>
 #include <span>
--- a/instance/src/query_trace.cpp
+++ b/instance/src/search/query_trace.cpp
@@ -1,4 +1,4 @@
-#include "query_trace.hpp"
+#include "search/query_trace.hpp"
 
 #include <algorithm>
 
--- a/instance/src/query_trace.hpp
+++ b/instance/src/search/query_trace.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <peridotward/base/json.hpp>
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <deque>
 #include <string>
--- a/instance/src/running_search.cpp
+++ b/instance/src/search/running_search.cpp
@@ -1,4 +1,4 @@
-#include "running_search.hpp"
+#include "search/running_search.hpp"
 
 namespace peridotward {
 
--- a/instance/src/running_search.hpp
+++ b/instance/src/search/running_search.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "attempt_port.hpp"
-#include "query_trace.hpp"
-#include "request_context.hpp"
-#include "search_arguments.hpp"
+#include "callers/request_context.hpp"
+#include "callers/search_arguments.hpp"
+#include "search/attempt_port.hpp"
+#include "search/query_trace.hpp"
 
-#include <peridotward/core/query.hpp>
+#include <peridotward/core/query/query.hpp>
 
 #include <string>
 #include <vector>
--- a/instance/src/search_queue.cpp
+++ b/instance/src/search/search_queue.cpp
@@ -1,4 +1,4 @@
-#include "search_queue.hpp"
+#include "search/search_queue.hpp"
 
 namespace peridotward {
 
--- a/instance/src/search_queue.hpp
+++ b/instance/src/search/search_queue.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "running_search.hpp"
+#include "search/running_search.hpp"
 
-#include <peridotward/core/admission.hpp>
+#include <peridotward/core/admission/admission.hpp>
 
 #include <functional>
 #include <unordered_map>
--- a/instance/src/search_runner.cpp
+++ b/instance/src/search/search_runner.cpp
@@ -1,8 +1,8 @@
 #include "log.hpp"
-#include "search_runner.hpp"
+#include "search/search_runner.hpp"
 
-#include <peridotward/core/adaptive_replica.hpp>
-#include <peridotward/core/answer_check.hpp>
+#include <peridotward/core/placement/adaptive_replica.hpp>
+#include <peridotward/core/query/answer_check.hpp>
 
 namespace peridotward {
 
--- a/instance/src/search_runner.hpp
+++ b/instance/src/search/search_runner.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "search_queue.hpp"
+#include "search/search_queue.hpp"
 
-#include <peridotward/core/bundle_translation.hpp>
+#include <peridotward/core/configuration/bundle_translation.hpp>
 
 #include <functional>
 #include <memory>
--- a/instance/src/upstream_executor.cpp
+++ b/instance/src/upstreams/upstream_executor.cpp
@@ -1,4 +1,4 @@
-#include "upstream_executor.hpp"
+#include "upstreams/upstream_executor.hpp"
 
 #include <algorithm>
 
--- a/instance/src/upstream_executor.hpp
+++ b/instance/src/upstreams/upstream_executor.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "entry_gate.hpp"
-#include "fleet_runner.hpp"
-#include "slot_queue.hpp"
-#include "upstream_gateway.hpp"
+#include "entries/entry_gate.hpp"
+#include "fleet/fleet_runner.hpp"
+#include "owners/slot_queue.hpp"
+#include "upstreams/upstream_gateway.hpp"
 
 #include <functional>
 #include <string>
--- a/instance/src/upstream_gateway.cpp
+++ b/instance/src/upstreams/upstream_gateway.cpp
@@ -1,4 +1,4 @@
-#include "upstream_gateway.hpp"
+#include "upstreams/upstream_gateway.hpp"
 
 #include <peridotward/base/json.hpp>
 
--- a/instance/src/upstream_gateway.hpp
+++ b/instance/src/upstreams/upstream_gateway.hpp
@@ -3,7 +3,7 @@
 #include "event_loop.hpp"
 
 #include <peridotward/config/bundle.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <functional>
 #include <optional>
--- a/instance/src/upstream_watch.cpp
+++ b/instance/src/upstreams/upstream_watch.cpp
@@ -1,4 +1,4 @@
-#include "upstream_watch.hpp"
+#include "upstreams/upstream_watch.hpp"
 
 #include <algorithm>
 
--- a/instance/src/upstream_watch.hpp
+++ b/instance/src/upstreams/upstream_watch.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "fleet_runner.hpp"
-#include "upstream_gateway.hpp"
+#include "fleet/fleet_runner.hpp"
+#include "upstreams/upstream_gateway.hpp"
 
 #include <map>
 #include <set>
--- a/tests/standins/upstream_behaviour.hpp
+++ b/tests/standins/upstream_behaviour.hpp
@@ -4,7 +4,7 @@
 
 #include <peridotward/base/json.hpp>
 #include <peridotward/base/names.hpp>
-#include <peridotward/core/attempt.hpp>
+#include <peridotward/core/query/attempt.hpp>
 
 #include <array>
 #include <string>
--- a/wire/include/peridotward/wire/peer_link.hpp
+++ b/wire/include/peridotward/wire/peer_link.hpp
@@ -2,7 +2,7 @@
 
 #include <peridotward/base/endpoint.hpp>
 #include <peridotward/base/error.hpp>
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/wire/src/message_fields.hpp
+++ b/wire/src/message_fields.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <string_view>
 #include <tuple>
--- a/wire/tests/message_generators.hpp
+++ b/wire/tests/message_generators.hpp
@@ -2,7 +2,7 @@
 
 #include "message_fields.hpp"
 
-#include <peridotward/core/peer_message.hpp>
+#include <peridotward/core/membership/peer_message.hpp>
 
 #include <rapidcheck.h>
 
