Parts of a search wait for a connection instead of being given up

Cause: an instance has two or three connections to each replica. Change: core/admission/send_queue, a bounded queue for each replica in the pool. Who can still be in time goes first, then who is more urgent. At a replica that tells of more than two requests a slot an instance has one request under way: the others wait here, where they can be withdrawn unsent and reordered. The bytes of a request are made when it goes out, with the time left then.

--- a/core/include/peridotward/core/budgets/connection_share.hpp
+++ b/core/include/peridotward/core/budgets/connection_share.hpp
@@ -19,6 +19,18 @@
     static constexpr std::uint32_t most = 8;
 
     /// \param bound Of the replica; 0 for none.
+    /// A replica is crowded when each of its slots has more than this many
+    /// requests: those that come last are late.
+    static constexpr std::uint32_t crowded_rounds = 2;
+
+    /// \returns How many requests this instance may have under way at the
+    /// replica: one while it is crowded, as others send to it as well.
+    [[nodiscard]] static std::uint32_t
+    at(const replica& to,
+       std::uint32_t bound,
+       const fleet_view& fleet,
+       time_point now) noexcept;
+
     [[nodiscard]] static std::uint32_t
     of(std::uint32_t bound, const fleet_view& fleet) noexcept;
 };
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -172,6 +172,11 @@
     {
         return attempts_[attempt].open;
     }
+    /// \returns Whether the part of the attempt is in.
+    [[nodiscard]] bool part_in(std::uint32_t attempt) const noexcept
+    {
+        return parts_[attempts_[attempt].part].in;
+    }
     [[nodiscard]] std::uint32_t part_of(std::uint32_t attempt) const noexcept
     {
         return attempts_[attempt].part;
--- a/core/include/peridotward/core/placement/replica_health.hpp
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -23,6 +23,8 @@
 public:
     /// Age up to which a told load stands for the present.
     static constexpr milliseconds fresh_load{50};
+    /// Age up to which it tells of a crowd: some answers of a full replica.
+    static constexpr milliseconds recent_load{250};
 
     /// \brief Notes that a request was sent.
     void on_sent(time_point now) noexcept;
@@ -69,6 +71,13 @@
     /// as told lately.
     [[nodiscard]] double others_load(time_point now) const noexcept;
 
+    /// \returns Whether the replica told lately of more requests than `most`.
+    [[nodiscard]] bool
+    crowded(std::uint32_t most, time_point now) const noexcept
+    {
+        return now - others_at_ < recent_load && told_ > most;
+    }
+
     /// \returns Whether a request would find a slot free, as far as is known.
     [[nodiscard]] bool
     has_room(std::uint32_t slots, time_point now) const noexcept
@@ -104,6 +113,7 @@
     std::uint32_t in_flight_ = 0;
     double others_ = 0;
     time_point others_at_;
+    std::uint32_t told_ = 0; ///< Running and waiting there, as told last.
     std::uint32_t unreachable_streak_ = 0;
     time_point retry_at_;
     time_point silent_;
--- a/core/src/budgets/connection_share.cpp
+++ b/core/src/budgets/connection_share.cpp
@@ -16,4 +16,14 @@
     return std::clamp(share, 1U, most);
 }
 
+std::uint32_t connection_share::at(
+    const replica& to,
+    std::uint32_t bound,
+    const fleet_view& fleet,
+    time_point now) noexcept
+{
+    const auto crowd = crowded_rounds * to.published.slots;
+    return to.health.crowded(crowd, now) ? 1 : of(bound, fleet);
+}
+
 } // namespace peridotward
--- a/core/src/placement/replica_health.cpp
+++ b/core/src/placement/replica_health.cpp
@@ -122,6 +122,7 @@
     const double told = load.running + load.waiting;
     others_ = std::max(0.0, told - in_flight_);
     others_at_ = now;
+    told_ = load.running + load.waiting;
 }
 
 double replica_health::slowness(time_point now) const noexcept
--- a/gateway/include/peridotward/gateway/upstream_link.hpp
+++ b/gateway/include/peridotward/gateway/upstream_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/admission/send_queue.hpp>
 #include <peridotward/core/discovery/upstream_catalog.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
 #include <peridotward/gateway/http_reader.hpp>
@@ -13,9 +14,9 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace peridotward {
 
@@ -28,6 +29,10 @@
         std::uint32_t attempt,
         forward_outcome outcome,
         response_message* answer) = 0;
+
+    /// \returns The whole request of an attempt that goes out now.
+    [[nodiscard]] virtual std::string
+    bytes_for(std::uint32_t attempt) const = 0;
 };
 
 /// \brief One request to one replica.
@@ -35,7 +40,7 @@
 {
     boost::intrusive_ptr<attempt_owner> owner;
     std::uint32_t attempt = 0;
-    std::string bytes;      ///< The whole request.
+    send_urgency urgency;   ///< Decides who waits for a connection.
     std::string request_id; ///< Answers to other requests are not taken.
     time_point give_up_at;  ///< The replica has dropped the request by then.
     bool bodiless = false;  ///< The answer has no body (HEAD).
@@ -123,6 +128,7 @@
     time_point idle_since_;
     time_point use_until_ = time_point::max();
     upstream_request request_;
+    std::string output_; ///< The whole request.
     std::size_t written_ = 0;
     std::string input_;
     response_message answer_;
@@ -147,15 +153,26 @@
     {}
 
     /// \brief Sends on an idle connection, or makes a new one if there are
-    /// fewer than `most`.
+    /// fewer than `most`, or lets the request wait for one.
     ///
-    /// \returns False when no connection may be made; nothing is reported.
+    /// \returns False when there is no room to wait; nothing is reported.
+    /// Requests that have to leave the queue later are reported as unsent.
     [[nodiscard]] bool
     send(replica_number number, upstream_request request, std::uint32_t most);
 
     /// \brief Ends all attempts of `owner` without a report.
     void abort_all(const attempt_owner& owner);
 
+    /// \brief Takes an attempt out of the queue for a connection.
+    /// \returns Whether it was there, so that it has not been sent.
+    [[nodiscard]] bool withdraw(
+        replica_number number,
+        const attempt_owner& owner,
+        std::uint32_t attempt);
+
+    /// \brief Sends what waits for the replica, as far as connections allow.
+    void serve_waiting(replica_number number);
+
     /// \brief Closes what waited too long.
     void check(time_point now);
 
@@ -163,6 +180,7 @@
     void forget(replica_number number);
 
     [[nodiscard]] std::size_t connections() const;
+    [[nodiscard]] std::size_t waiting() const;
     [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
 
     [[nodiscard]] reactor& loop() noexcept { return *loop_; }
@@ -176,10 +194,24 @@
     using link_list = boost::intrusive::
         list<upstream_link, boost::intrusive::constant_time_size<false>>;
 
+    struct replica_links
+    {
+        link_list links; ///< The last used first.
+        send_queue<upstream_request> waiting;
+        std::uint32_t most = 1; ///< Connections, as said last.
+    };
+
+    [[nodiscard]] replica_links& links_of(replica_number number);
+    [[nodiscard]] bool
+    send_now(replica_number number, upstream_request& request);
+    [[nodiscard]] bool open_to_new_work(replica_number number) const;
+    void report_unsent(const upstream_request& request);
+
     reactor* loop_;
     upstream_catalog* catalog_;
     const protocol_names* names_;
-    std::vector<link_list> links_; ///< By replica; the last used first.
+    /// By replica. Entries stay where they are while a report sends anew.
+    std::deque<replica_links> links_;
     std::uint64_t opened_ = 0;
 };
 
--- a/gateway/src/control_port.cpp
+++ b/gateway/src/control_port.cpp
@@ -15,6 +15,7 @@
     gauge("open_requests", forwarding_->open_requests());
     gauge("members", peers_->running().size() + 1);
     gauge("bad_peer_frames_total", peers_->bad_frames());
+    gauge("waiting_for_connection", forwarding_->pool().waiting());
     gauge("upstream_connections", forwarding_->pool().connections());
     gauge("upstream_connections_opened_total", forwarding_->pool().opened());
     gauge("log_lines_dropped_total", log_->dropped());
--- a/gateway/src/exchange.cpp
+++ b/gateway/src/exchange.cpp
@@ -15,6 +15,9 @@
 /// connection is given up; late answers keep the connection usable.
 constexpr milliseconds late_answer_time{250};
 
+/// A replica's answer is there after this many usual times, pauses aside.
+constexpr int sure_answer_factor = 2;
+
 constexpr std::array<std::string_view, 9> connection_fields{
     "Connection",
     "Keep-Alive",
@@ -142,8 +145,9 @@
         owner_->loop_->arm(timer_, request_.next_wakeup());
 }
 
-std::string exchange::bytes_for(const replica& target) const
+std::string exchange::bytes_for(std::uint32_t attempt) const
 {
+    const auto& target = owner_->catalog_.at(request_.replica_of(attempt));
     const auto left = std::max(
         std::chrono::duration_cast<milliseconds>(
             request_.times().abandoned_at - owner_->loop_->now()),
@@ -166,7 +170,9 @@
     upstream_request request;
     request.owner = this;
     request.attempt = wanted.attempt;
-    request.bytes = bytes_for(target);
+    request.urgency = {
+        request_.route().priority,
+        request_.times().worth_until - sure_answer_factor * profile_->usual()};
     request.request_id = request_id_;
     request.give_up_at = request_.times().abandoned_at + late_answer_time;
     request.bodiless = bodiless_;
@@ -180,7 +186,11 @@
     if (!owner_->pool_.send(
             wanted.to,
             std::move(request),
-            connection_share::of(service.max_connections, owner_->fleet_)))
+            connection_share::at(
+                target,
+                service.max_connections,
+                owner_->fleet_,
+                owner_->loop_->now())))
         unsendable_.push_back(wanted.attempt);
     if (wanted.repeat)
         owner_->numbers_->count("repeats_total");
@@ -210,8 +220,10 @@
     }
     const bool used = request_.on_result(
         attempt, outcome, owner_->tools(), *profile_, now, actions_);
-    if (used && answer != nullptr)
+    if (used && answer != nullptr) {
         keep_part(attempt, *answer);
+        withdraw_waiting();
+    }
     else if (
         outcome == forward_outcome::failed && answer != nullptr &&
         answer->fields.find(owner_->names_->signature) &&
@@ -247,9 +259,26 @@
         answer_head_ = head_of(answer);
 }
 
+void exchange::withdraw_waiting()
+{
+    for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
+        const bool needed = !request_.ended() && !request_.part_in(i);
+        if (!needed && request_.open(i) &&
+            owner_->pool_.withdraw(request_.replica_of(i), *this, i))
+            request_.on_result(
+                i,
+                forward_outcome::unsent,
+                owner_->tools(),
+                *profile_,
+                owner_->loop_->now(),
+                actions_);
+    }
+}
+
 void exchange::finish(forward_end end)
 {
     reactor::disarm(timer_);
+    withdraw_waiting();
     --owner_->open_;
     log_end(end);
     if (session_ == nullptr)
--- a/gateway/src/exchange.hpp
+++ b/gateway/src/exchange.hpp
@@ -38,7 +38,8 @@
     void on_time();
     void act();
     void send(const forward_send& wanted);
-    [[nodiscard]] std::string bytes_for(const replica& target) const;
+    [[nodiscard]] std::string bytes_for(std::uint32_t attempt) const override;
+    void withdraw_waiting();
     [[nodiscard]] std::string head_of(const response_message& answer) const;
     void keep_part(std::uint32_t attempt, response_message& answer);
     void finish(forward_end end);
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -23,7 +23,6 @@
         upstream_request request;
         request.owner = this;
         request.attempt = replica;
-        request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         request.give_up_at = give_up_at_;
         sent += pool_->send(replica, std::move(request), 4) ? 1 : 0;
     }
@@ -40,6 +39,11 @@
             send(attempt + 1);
     }
 
+    [[nodiscard]] std::string bytes_for(std::uint32_t) const override
+    {
+        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+
     upstream_pool* pool_;
     time_point give_up_at_;
 };
