Refused callers are told when to come back, each a place of its own

Cause: Retry-After was a constant 50 ms (250 ms before a configuration), so that all callers refused by an outage came back together, urgent or not, also when no replica could take them by then. The earliest place is when enough of the lost parts have a chance again: the next try to connect, the next second of a cold replica, a replica's start.

--- a/core/include/peridotward/core/admission/send_queue.hpp
+++ b/core/include/peridotward/core/admission/send_queue.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -47,8 +48,10 @@
         waiting_.push_back({std::move(request), urgency});
         if (waiting_.size() <= connections * waiting_per_connection)
             return std::nullopt;
-        return take(
-            std::max_element(waiting_.begin(), waiting_.end(), before_at(now)));
+        // The newest one among equals.
+        const auto last = std::max_element(
+            waiting_.rbegin(), waiting_.rend(), before_at(now));
+        return take(std::prev(last.base()));
     }
 
     /// \returns The most urgent request, or nothing when none waits.
--- a/core/include/peridotward/core/budgets/cold_limit.hpp
+++ b/core/include/peridotward/core/budgets/cold_limit.hpp
@@ -36,6 +36,10 @@
     /// \returns Whether one more may be sent within any second; counts it.
     [[nodiscard]] bool take(std::uint32_t allowance, time_point now);
 
+    /// \returns When one more may be sent.
+    [[nodiscard]] time_point
+    next_chance(std::uint32_t allowance, time_point now) const;
+
 private:
     std::deque<time_point> sent_;
 };
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -152,6 +152,11 @@
     {
         return config_;
     }
+    /// \returns The service that answers a part.
+    [[nodiscard]] const forward_service& service(std::uint32_t part) const
+    {
+        return config_->services[parts_[part].service];
+    }
     [[nodiscard]] const forward_times& times() const noexcept { return times_; }
     [[nodiscard]] std::uint32_t part_count() const noexcept
     {
@@ -164,6 +169,11 @@
     }
     [[nodiscard]] std::uint32_t repeats() const noexcept { return repeats_; }
 
+    /// \returns When the request has its next chance, after it was refused: as
+    /// soon as enough of the lost parts have theirs.
+    [[nodiscard]] time_point
+    next_chance(const forward_tools& tools, time_point now) const;
+
     /// \returns Whether a replica may have run any of it.
     [[nodiscard]] bool may_have_run() const noexcept { return may_have_run_; }
 
@@ -211,10 +221,8 @@
             refused; ///< Of `tried`; may be asked again.
     };
 
-    [[nodiscard]] const forward_service& service_of(std::uint32_t part) const
-    {
-        return config_->services[parts_[part].service];
-    }
+    /// Parts that an answer can do without.
+    [[nodiscard]] std::uint32_t spare_parts() const noexcept;
     [[nodiscard]] bool enough() const noexcept;
     [[nodiscard]] bool hopeless() const noexcept;
     bool send(
--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -38,6 +38,12 @@
     /// the bytes that need not cross are priced. A queue is no better for being
     /// near.
     static constexpr double near_room_worth = 2;
+    /// A replica that refuses may have a free slot after this time: some
+    /// answers of one slot.
+    static constexpr milliseconds full_wait{50};
+    /// A service without replicas has one again after this time at the
+    /// earliest: a replica's start and its publication.
+    static constexpr milliseconds empty_wait{500};
     /// Weight of the newest request in a service's mean of usual latencies.
     static constexpr double mix_gain = 1.0 / 64;
     /// Factor on the expected time of a replica in a cold start.
@@ -68,6 +74,13 @@
         const fleet_view& fleet,
         time_point now);
 
+    /// \returns When a request to `service` has its next chance; a guess where
+    /// that depends on replicas.
+    [[nodiscard]] time_point next_chance(
+        const forward_service& service,
+        const fleet_view& fleet,
+        time_point now) const;
+
     /// \param mix The usual time over all kinds of requests to the service,
     /// in usual times of this kind: what one queued request costs.
     /// \returns The expected time of the next request, in usual latencies.
--- a/core/include/peridotward/core/placement/replica_health.hpp
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -98,6 +98,9 @@
         return now < retry_at_;
     }
 
+    /// \returns When the next try to connect is due.
+    [[nodiscard]] time_point retry_at() const noexcept { return retry_at_; }
+
     /// \returns Since when the replica owes an answer without any sign of
     /// life, or the default time point.
     [[nodiscard]] time_point silent_since() const noexcept { return silent_; }
--- a/core/src/budgets/cold_limit.cpp
+++ b/core/src/budgets/cold_limit.cpp
@@ -36,4 +36,14 @@
     return true;
 }
 
+time_point
+cold_window::next_chance(std::uint32_t allowance, time_point now) const
+{
+    if (allowance == 0)
+        return time_point::max();
+    if (sent_.size() < allowance)
+        return now;
+    return std::max(now, sent_[sent_.size() - allowance] + seconds{1});
+}
+
 } // namespace peridotward
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include <peridotward/core/gather/forwarded_request.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace peridotward {
@@ -31,6 +32,15 @@
     attempts_.reserve(parts_.size() + 2);
 }
 
+std::uint32_t forwarded_request::spare_parts() const noexcept
+{
+    const auto total = static_cast<double>(parts_.size());
+    const double least = route_->scatters() ? route_->least_shard_share : 1.0;
+    const auto needed =
+        static_cast<std::uint32_t>(std::ceil(least * total - share_tolerance));
+    return part_count() - std::min(needed, part_count());
+}
+
 bool forwarded_request::enough() const noexcept
 {
     const auto total = static_cast<double>(parts_.size());
@@ -58,6 +68,22 @@
     return may_run ? forward_end::failed : forward_end::not_run;
 }
 
+time_point
+forwarded_request::next_chance(const forward_tools& tools, time_point now) const
+{
+    std::vector<time_point> chances;
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        if (parts_[part].given_up)
+            chances.push_back(
+                tools.choice->next_chance(service(part), *tools.fleet, now));
+    }
+    std::sort(chances.begin(), chances.end());
+    // The last ones may stay lost.
+    while (chances.size() > 1 && given_up_ - chances.size() < spare_parts())
+        chances.pop_back();
+    return chances.empty() ? now : chances.back();
+}
+
 void forwarded_request::finish(forward_end end, forward_actions& out)
 {
     ended_ = true;
@@ -83,20 +109,20 @@
     forward_actions& out)
 {
     auto& wanted = parts_[part];
-    const auto& service = service_of(part);
+    const auto& asked = service(part);
     const auto chosen = tools.choice->choose(
-        service, wanted.tried, profile.usual(), *tools.fleet, now);
+        asked, wanted.tried, profile.usual(), *tools.fleet, now);
     if (!chosen)
         return false;
     const bool hedges = wanted.open > 0;
     const auto& replica = tools.catalog->at(*chosen);
     // A hedge helps only where it is served at once.
-    if (hedges && (tools.repeats->pressed(service.name) ||
+    if (hedges && (tools.repeats->pressed(asked.name) ||
                    !replica.health.has_room(replica.published.slots, now)))
         return false;
     const bool repeat = wanted.arrivals > 0;
     const auto use = hedges ? repeat_use::hedge : repeat_use::retry;
-    if (repeat && !tools.repeats->take(service.name, use, now))
+    if (repeat && !tools.repeats->take(asked.name, use, now))
         return false;
     wanted.tried.push_back(*chosen);
     ++wanted.open;
@@ -123,7 +149,7 @@
     forward_actions& out)
 {
     for (std::uint32_t part = 0; part < parts_.size(); ++part) {
-        tools.repeats->on_request(service_of(part).name, now);
+        tools.repeats->on_request(service(part).name, now);
         if (!send(part, tools, profile, now, out))
             give_up(part);
     }
@@ -199,7 +225,7 @@
     --part.open;
     auto& health = tools.catalog->at(ended.to).health;
     tools.repeats->on_attempt(
-        service_of(ended.part).name, outcome == forward_outcome::refused);
+        service(ended.part).name, outcome == forward_outcome::refused);
     switch (outcome) {
     case forward_outcome::answered:
         health.on_answered(now - ended.sent, profile.usual(), now);
@@ -232,7 +258,7 @@
         --part.arrivals;
         ++part.refusals;
         if (ended.repeat)
-            tools.repeats->give_back(service_of(ended.part).name);
+            tools.repeats->give_back(service(ended.part).name);
         break;
     }
     if (ended_ || part.in)
--- a/core/src/placement/replica_choice.cpp
+++ b/core/src/placement/replica_choice.cpp
@@ -75,6 +75,39 @@
     return cold_windows_[candidate.number].take(allowance, now);
 }
 
+time_point replica_choice::next_chance(
+    const forward_service& service,
+    const fleet_view& fleet,
+    time_point now) const
+{
+    auto soonest = time_point::max();
+    for (const auto number : catalog_->of_service(service.name)) {
+        const auto& candidate = catalog_->at(number);
+        if (catalog_->standing(candidate) == replica_standing::barred)
+            continue;
+        auto chance = now + full_wait;
+        if (candidate.health.unreachable(now))
+            chance = std::max(chance, candidate.health.retry_at());
+        const auto window = cold_windows_.find(number);
+        if (candidate.cold(now) && service.cold_rate > 0 &&
+            window != cold_windows_.end()) {
+            const auto allowance = cold_allowance(
+                candidate.published.id,
+                service.cold_rate,
+                cold_,
+                fleet.self,
+                fleet.others);
+            chance = std::max(
+                chance,
+                std::min(
+                    window->second.next_chance(allowance, now),
+                    candidate.cold_until));
+        }
+        soonest = std::min(soonest, chance);
+    }
+    return soonest == time_point::max() ? now + empty_wait : soonest;
+}
+
 std::optional<replica_number> replica_choice::choose(
     const forward_service& service,
     std::span<const replica_number> avoid,
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -334,6 +334,55 @@
         CHECK(world.choice.choose(service, {}, usual, world.fleet, now) != bad);
 }
 
+TEST_CASE("refusals: the next chance is that of the replicas", "[forwarding]")
+{
+    forward_world world{1, 2, idempotent(2)};
+    const auto now = start + milliseconds{10};
+    const auto refused_request = [&] {
+        auto request = world.request();
+        world.out.clear();
+        request.begin(world.tools(), world.profile, now, world.out);
+        for (std::uint32_t i = 0; !world.out.end; ++i)
+            world.result(request, i, forward_outcome::unreachable, now);
+        CHECK(*world.out.end == forward_end::not_run);
+        return request.next_chance(world.tools(), now);
+    };
+    SECTION("no connection: the next try to connect")
+    {
+        // The wait before it grows with each try that fails.
+        CHECK(refused_request() == now + milliseconds{100});
+        CHECK(refused_request() == now + milliseconds{250});
+    }
+    SECTION("no replica: a replica's start")
+    {
+        world.catalog.withdraw("s0-a", start - seconds{10});
+        world.catalog.withdraw("s0-b", start - seconds{10});
+        world.catalog.expire(now);
+        auto request = world.request();
+        request.begin(world.tools(), world.profile, now, world.out);
+        CHECK(world.out.end == forward_end::not_run);
+        CHECK(
+            request.next_chance(world.tools(), now) ==
+            now + replica_choice::empty_wait);
+    }
+}
+
+TEST_CASE("refusals: a cold service takes callers as it warms", "[forwarding]")
+{
+    forward_world world{1, 1, idempotent(1)};
+    auto service = world.config->services[0];
+    service.cold_rate = 4;
+    auto& only = world.catalog.at(world.catalog.of_service("s0").front());
+    only.cold_until = start + seconds{30};
+    while (world.choice.choose(
+        service, {}, milliseconds{10}, world.fleet, start)) {
+    }
+    const auto now = start + milliseconds{300};
+    CHECK(
+        world.choice.next_chance(service, world.fleet, now) ==
+        start + seconds{1});
+}
+
 TEST_CASE("choice: a slow replica is tried again", "[placement]")
 {
     forward_world world{1, 2, idempotent(2)};
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/admission/return_plan.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
 #include <peridotward/core/routing/weighted_turn.hpp>
 #include <peridotward/gateway/counters.hpp>
@@ -20,8 +21,6 @@
 class forwarder final : public http_handler
 {
 public:
-    /// A caller that is told to come back finds a replica's slot by then.
-    static constexpr milliseconds retry_after_full{50};
     /// A starting instance reads the configuration within this time.
     static constexpr milliseconds retry_after_start{250};
 
@@ -63,6 +62,7 @@
         std::uint32_t status,
         std::string_view reason,
         milliseconds retry_after = {});
+    [[nodiscard]] return_plan& returns_of(const forwarded_request& request);
     [[nodiscard]] forward_tools tools() noexcept
     {
         return {&catalog_, &choice_, &repeats_, &fleet_};
@@ -83,6 +83,8 @@
     weighted_turn turns_;
     std::unordered_map<std::string, latency_profile> profiles_;
     std::unordered_map<std::string, caller_patience> patience_;
+    /// By the first service of a route: routes that share upstreams share it.
+    std::unordered_map<std::string, return_plan> returns_;
     std::size_t open_ = 0;
     bool closing_ = false;
 };
--- a/gateway/src/exchange.cpp
+++ b/gateway/src/exchange.cpp
@@ -285,6 +285,8 @@
         return;
     const bool success =
         end == forward_end::complete || end == forward_end::partial;
+    if (success)
+        owner_->returns_of(request_).on_served(owner_->loop_->now());
     auto* const session = std::exchange(session_, nullptr);
     const boost::intrusive_ptr<http_session> keep{session};
     if (!success)
@@ -328,12 +330,15 @@
     const std::uint32_t status = end == forward_end::not_run     ? 503
                                  : end == forward_end::timed_out ? 504
                                                                  : 502;
-    owner_->refuse(
-        session,
-        status,
-        name_of(end),
-        end == forward_end::not_run ? forwarder::retry_after_full
-                                    : milliseconds{});
+    milliseconds retry_after{};
+    if (end == forward_end::not_run) {
+        const auto now = owner_->loop_->now();
+        retry_after = owner_->returns_of(request_).tell(
+            request_.route().priority,
+            request_.next_chance(owner_->tools(), now),
+            now);
+    }
+    owner_->refuse(session, status, name_of(end), retry_after);
 }
 
 void exchange::log_end(forward_end end) const
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -108,6 +108,11 @@
     repeats_.instances(static_cast<std::uint32_t>(fleet_.others.size()) + 1);
 }
 
+return_plan& forwarder::returns_of(const forwarded_request& request)
+{
+    return returns_[request.service(0).name];
+}
+
 void forwarder::refuse(
     http_session& session,
     std::uint32_t status,
@@ -153,7 +158,12 @@
         return;
     }
     if (!config_) {
-        refuse(session, 503, "no configuration yet", retry_after_start);
+        const auto now = loop_->now();
+        refuse(
+            session,
+            503,
+            "no configuration yet",
+            returns_[""].tell(0, now + retry_after_start, now));
         return;
     }
     const auto* route = config_->find(host_of(*host), path_of(request.target));
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+#include <vector>
+
 using namespace peridotward;
 
 namespace {
@@ -79,3 +82,111 @@
     CHECK(owner->sent == 4 * replicas);
     CHECK(pool.connections() == 0);
 }
+
+namespace {
+
+/// A replica that accepts connections and says nothing, and its pool.
+struct silent_replica
+{
+    manual_clock clock;
+    reactor loop{clock};
+    upstream_catalog catalog;
+    protocol_names names;
+    upstream_pool pool{loop, catalog, names};
+    result<unique_socket> listener = listen_tcp({"127.0.0.1", silent_port});
+
+    silent_replica()
+    {
+        upstream_record record;
+        record.id = "r";
+        record.service = "s";
+        record.address = {"127.0.0.1", silent_port};
+        catalog.publish(std::move(record), clock.now());
+    }
+
+    void pass(duration time)
+    {
+        clock.advance(time);
+        loop.refresh();
+        pool.check(loop.now());
+    }
+};
+
+/// Counts how its attempts end.
+class patient_owner final : public attempt_owner
+{
+public:
+    bool send(silent_replica& to, std::uint32_t attempt, seconds give_up)
+    {
+        upstream_request request;
+        request.owner = this;
+        request.attempt = attempt;
+        request.give_up_at = to.clock.now() + give_up;
+        return to.pool.send(0, std::move(request), 1);
+    }
+    [[nodiscard]] std::string bytes_for(std::uint32_t) const override
+    {
+        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+
+    std::vector<std::pair<std::uint32_t, forward_outcome>> ended;
+
+private:
+    void on_attempt_end(
+        std::uint32_t attempt,
+        forward_outcome outcome,
+        response_message*) override
+    {
+        ended.emplace_back(attempt, outcome);
+    }
+};
+
+using waiting_requests = send_queue<upstream_request>;
+
+} // namespace
+
+TEST_CASE("pool: a request waits for a connection, up to a bound", "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    const boost::intrusive_ptr<patient_owner> owner{new patient_owner};
+    REQUIRE(owner->send(replica, 0, seconds{1}));
+    for (std::uint32_t i = 0; i < waiting_requests::waiting_per_connection; ++i)
+        CHECK(owner->send(replica, 1 + i, seconds{9}));
+    CHECK(replica.pool.waiting() == waiting_requests::waiting_per_connection);
+    CHECK(replica.pool.connections() == 1);
+    CHECK_FALSE(owner->send(replica, 9, seconds{9}));
+    CHECK(owner->ended.empty());
+
+    // The first attempt is given up, and one that waited takes its place.
+    replica.pass(seconds{2});
+    REQUIRE(owner->ended.size() == 1);
+    CHECK(owner->ended.front().first == 0);
+    CHECK(replica.pool.connections() == 1);
+    CHECK(
+        replica.pool.waiting() == waiting_requests::waiting_per_connection - 1);
+
+    CHECK(replica.pool.withdraw(0, *owner, 4));
+    CHECK_FALSE(replica.pool.withdraw(0, *owner, 4));
+    CHECK_FALSE(replica.pool.withdraw(0, *owner, 0));
+    replica.pool.abort_all(*owner);
+    CHECK(replica.pool.waiting() == 0);
+    CHECK(replica.pool.connections() == 0);
+    CHECK(owner->ended.size() == 1);
+}
+
+TEST_CASE("pool: nothing that waited goes to a leaving replica", "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    const boost::intrusive_ptr<patient_owner> owner{new patient_owner};
+    REQUIRE(owner->send(replica, 0, seconds{9}));
+    REQUIRE(owner->send(replica, 1, seconds{9}));
+    auto leaving = replica.catalog.at(0).published;
+    leaving.draining = true;
+    replica.catalog.publish(leaving, replica.clock.now());
+    replica.pass(milliseconds{100});
+    REQUIRE(owner->ended.size() == 1);
+    CHECK(owner->ended.front() == std::pair{1U, forward_outcome::unsent});
+    replica.pool.abort_all(*owner);
+}
