Changed settings are put in force without a restart

Bounds of repeats and cold replicas, the grace time and seeds are put in force; what needs a restart, or an invalid file, is logged and nothing changes.

--- a/core/include/peridotward/core/budgets/cold_limit.hpp
+++ b/core/include/peridotward/core/budgets/cold_limit.hpp
@@ -15,6 +15,8 @@
 {
     double over = 1.5; ///< Times the told rate.
     double slack = 5;  ///< Requests beyond it, in one second.
+
+    bool operator==(const cold_bounds&) const = default;
 };
 
 /// \returns How many requests a second this instance may send to the cold
--- a/core/include/peridotward/core/budgets/retry_ledger.hpp
+++ b/core/include/peridotward/core/budgets/retry_ledger.hpp
@@ -37,6 +37,9 @@
         instances_ = std::max(instances_, count);
     }
 
+    /// \brief Puts other bounds in force, for what is sent from now on.
+    void bounds(retry_bounds changed) noexcept { bounds_ = changed; }
+
     /// \brief Notes whether a replica of `service` refused an attempt.
     void on_attempt(const std::string& service, bool refused)
     {
--- a/core/include/peridotward/core/budgets/retry_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_window.hpp
@@ -13,6 +13,8 @@
     double ratio = 0.1;            ///< Repeats for each request.
     double extra = 10;             ///< Repeats beyond the ratio.
     duration window = seconds{10}; ///< Any span of this length counts.
+
+    bool operator==(const retry_bounds&) const = default;
 };
 
 /// \brief What a repeat is for.
--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -63,6 +63,9 @@
           random_{&random}
     {}
 
+    /// \brief Puts other bounds in force, for what is sent from now on.
+    void bounds(cold_bounds changed) noexcept { cold_ = changed; }
+
     /// \param avoid Replicas that the request was sent to before.
     /// \param usual The usual time of this kind of request.
     /// \returns The replica, counted against its cold limit, or nothing when
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -41,6 +41,9 @@
     /// \brief Puts a configuration in force, unless it is older.
     void apply(forward_config_ptr config);
     void fleet(fleet_view seen);
+
+    /// \brief Takes over the bounds from the settings, which have changed.
+    void settings_changed();
     void begin_closing() noexcept { closing_ = true; }
 
     /// \brief Periodic work: ends connections and replicas that are due.
--- a/gateway/include/peridotward/gateway/gateway.hpp
+++ b/gateway/include/peridotward/gateway/gateway.hpp
@@ -49,6 +49,10 @@
     /// \brief Begins the graceful shutdown.
     void stop();
 
+    /// \brief Puts changed settings in force, as far as that goes without a
+    /// restart; logs what changed, or why nothing did.
+    void reload(const result<gateway_settings>& loaded);
+
     /// \brief Says that configuration and upstreams are known.
     void upstreams_known();
 
--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -22,6 +22,8 @@
     endpoint control; ///< State dump, metrics, and what other instances ask.
     endpoint metrics; ///< The same, at a port that does not change.
     endpoint peers;   ///< UDP, between instances.
+
+    bool operator==(const gateway_listeners&) const = default;
 };
 
 /// \brief What an instance of the gateway is told at its start.
@@ -48,6 +50,15 @@
 [[nodiscard]] result<gateway_settings>
 parse_gateway_settings(std::string_view text);
 
+/// \returns The names of the settings that differ, for a log line.
+[[nodiscard]] std::string
+changed_settings(const gateway_settings& from, const gateway_settings& to);
+
+/// \returns Whether `to` may be put in force without a restart: who the
+/// instance is, where it listens and where the store is are the same.
+[[nodiscard]] bool
+may_reload(const gateway_settings& from, const gateway_settings& to);
+
 /// \returns The settings in the file `path`.
 [[nodiscard]] result<gateway_settings>
 load_gateway_settings(const std::string& path);
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -35,6 +35,9 @@
     void set_ready(bool ready);
     void leave();
 
+    /// \brief Takes over the seeds from the settings, which have changed.
+    void seeds_changed();
+
     /// \brief Tells the others how busy this instance is.
     void set_load(member_load load);
 
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -108,6 +108,12 @@
     repeats_.instances(static_cast<std::uint32_t>(fleet_.others.size()) + 1);
 }
 
+void forwarder::settings_changed()
+{
+    repeats_.bounds(settings_->repeats);
+    choice_.bounds(settings_->cold);
+}
+
 return_plan& forwarder::returns_of(const forwarded_request& request)
 {
     return returns_[request.service(0).name];
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -196,6 +196,34 @@
     all.peers.leave();
 }
 
+void gateway::reload(const result<gateway_settings>& loaded)
+{
+    auto& all = *parts_;
+    const auto now = all.loop->now();
+    if (!loaded) {
+        all.log->write(
+            now,
+            event_rank::notable,
+            "settings_rejected",
+            {{"reason", loaded.error().message}});
+        return;
+    }
+    const auto changed = changed_settings(all.settings, *loaded);
+    if (changed.empty())
+        return;
+    const bool applied = may_reload(all.settings, *loaded);
+    all.log->write(
+        now,
+        event_rank::notable,
+        applied ? "settings_in_force" : "settings_need_restart",
+        {{"changed", changed}});
+    if (!applied)
+        return;
+    all.settings = *loaded;
+    all.forwarding.settings_changed();
+    all.peers.seeds_changed();
+}
+
 void gateway::upstreams_known()
 {
     if (std::exchange(parts_->known, true))
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -100,6 +100,37 @@
     }
 }
 
+std::string
+changed_settings(const gateway_settings& from, const gateway_settings& to)
+{
+    std::string names;
+    const auto note = [&](bool same, std::string_view name) {
+        if (same)
+            return;
+        names += names.empty() ? "" : ",";
+        names += name;
+    };
+    note(from.id == to.id, "instance.id");
+    note(from.domain == to.domain, "instance.domain");
+    note(from.region == to.region, "instance.region");
+    note(from.capacity == to.capacity, "instance.cores");
+    note(from.listen == to.listen, "listen");
+    note(from.seeds == to.seeds, "seeds");
+    note(from.store == to.store, "store");
+    note(from.repeats == to.repeats, "limits.repeat");
+    note(from.cold == to.cold, "limits.cold");
+    note(from.grace == to.grace, "limits.grace_s");
+    note(from.directory_ttl == to.directory_ttl, "directory_ttl_s");
+    return names;
+}
+
+bool may_reload(const gateway_settings& from, const gateway_settings& to)
+{
+    return from.id == to.id && from.domain == to.domain &&
+           from.region == to.region && from.capacity == to.capacity &&
+           from.listen == to.listen && from.store == to.store;
+}
+
 result<gateway_settings> load_gateway_settings(const std::string& path)
 {
     std::ifstream file{path};
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -83,9 +83,14 @@
         return tl::unexpected{bound.error()};
     socket_ = std::move(*bound);
     loop_->add(socket_.descriptor(), EPOLLIN, *this);
+    seeds_changed();
+    return {};
+}
+
+void peer_gossip::seeds_changed()
+{
     members_.on_list(list_of(settings_->seeds), loop_->now());
     on_time();
-    return {};
 }
 
 void peer_gossip::set_ready(bool ready)
--- /dev/null
+++ b/gateway/tests/gateway_settings_test.cpp
@@ -0,0 +1,75 @@
+#include <peridotward/gateway/gateway_settings.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace peridotward;
+
+namespace {
+
+std::string settings_text(
+    const std::string& limits = R"("repeat_extra": 56, "grace_s": 6)",
+    const std::string& store = "10.0.0.9:8000")
+{
+    return R"({
+        "instance": {
+            "id": "i-1", "domain": "d", "region": "r", "cores": 0.25},
+        "listen": {
+            "callers": "10.0.0.1:80", "ready": "10.0.0.1:81",
+            "directory": "10.0.0.1:82", "control": "10.0.0.1:83",
+            "metrics": "10.0.0.1:84", "peers": "10.0.0.1:85"},
+        "seeds": ["10.0.0.2:83"], // by their control address
+        "store": ")" +
+           store + R"(",
+        "limits": {
+            "repeat_ratio": 0.2, "repeat_window_s": 10, "cold_over": 1.5,
+            "cold_slack": 5, )" +
+           limits + "}}";
+}
+
+gateway_settings parsed(const std::string& text)
+{
+    auto settings = parse_gateway_settings(text);
+    REQUIRE(settings);
+    return *settings;
+}
+
+} // namespace
+
+TEST_CASE("settings: seeds are met at the peers' port", "[settings]")
+{
+    const auto settings = parsed(settings_text());
+    CHECK(settings.capacity == 250);
+    CHECK(settings.seeds.front() == endpoint{"10.0.0.2", 85});
+    CHECK(settings.grace == seconds{6});
+}
+
+TEST_CASE("settings: bounds change without a restart", "[settings]")
+{
+    const auto before = parsed(settings_text());
+    CHECK(changed_settings(before, before).empty());
+    const auto after =
+        parsed(settings_text(R"("repeat_extra": 40, "grace_s": 9)"));
+    CHECK(changed_settings(before, after) == "limits.repeat,limits.grace_s");
+    CHECK(may_reload(before, after));
+}
+
+TEST_CASE("settings: another store needs a restart", "[settings]")
+{
+    const auto before = parsed(settings_text());
+    const auto after = parsed(
+        settings_text(R"("repeat_extra": 56, "grace_s": 6)", "10.0.0.8:8000"));
+    CHECK(changed_settings(before, after) == "store");
+    CHECK_FALSE(may_reload(before, after));
+}
+
+TEST_CASE("settings: what is wrong is named with its value", "[settings]")
+{
+    const auto wrong = parse_gateway_settings(
+        settings_text(R"("repeat_extra": -1, "grace_s": 6)"));
+    REQUIRE_FALSE(wrong);
+    CHECK(wrong.error().message.find("repeat_extra") != std::string::npos);
+    CHECK(wrong.error().message.find("-1") != std::string::npos);
+    CHECK_FALSE(parse_gateway_settings("{"));
+}
