--- a/gateway/include/peridotward/gateway/upstream_link.hpp
+++ b/gateway/include/peridotward/gateway/upstream_link.hpp
@@ -68,10 +68,12 @@
     /// Answers to earlier requests that are skipped before one gives up.
     static constexpr std::uint32_t max_foreign_answers = 4;
 
-    upstream_link(upstream_pool& pool, replica_number number);
+    /// \param connecting A socket whose connection is being made.
+    upstream_link(
+        upstream_pool& pool, replica_number number, unique_socket connecting);
 
-    /// \returns False when no connection can be tried.
-    [[nodiscard]] bool connect(const endpoint& address);
+    /// \brief Begins to follow the connection; the loop holds the link then.
+    void start();
     void send(upstream_request request);
 
     /// \brief Ends the request at hand without a report.
@@ -204,6 +206,9 @@
     [[nodiscard]] replica_links& links_of(replica_number number);
     [[nodiscard]] bool
     send_now(replica_number number, upstream_request& request);
+    /// \returns A link that connects, or null when none can be tried.
+    [[nodiscard]] boost::intrusive_ptr<upstream_link>
+    open_link(replica_number number);
     [[nodiscard]] bool open_to_new_work(replica_number number) const;
     void report_unsent(const upstream_request& request);
 
--- a/gateway/src/upstream_link.cpp
+++ b/gateway/src/upstream_link.cpp
@@ -55,20 +55,19 @@
 
 } // namespace
 
-upstream_link::upstream_link(upstream_pool& pool, replica_number number)
-    : pool_{&pool}, number_{number}, began_{pool.loop().now()}
+upstream_link::upstream_link(
+    upstream_pool& pool, replica_number number, unique_socket connecting)
+    : pool_{&pool},
+      number_{number},
+      socket_{std::move(connecting)},
+      began_{pool.loop().now()}
 {}
 
-bool upstream_link::connect(const endpoint& address)
+void upstream_link::start()
 {
-    auto opened = connect_tcp(address, upstream_keep_alive);
-    if (!opened)
-        return false;
-    socket_ = std::move(*opened);
     watched_ = EPOLLIN | EPOLLOUT;
     pool_->loop().add(socket_.descriptor(), watched_, *this);
     intrusive_ptr_add_ref(this); // Held by the loop until `close`.
-    return true;
 }
 
 void upstream_link::watch(std::uint32_t events)
@@ -359,16 +358,28 @@
     }
     if (count >= known.most)
         outworn->close();
-    const boost::intrusive_ptr<upstream_link> made{
-        new upstream_link{*this, number}};
-    if (!made->connect(catalog_->at(number).published.address))
+    const auto made = open_link(number);
+    if (!made)
         return false;
-    ++opened_;
     known.links.push_front(*made);
     made->send(std::move(request));
     return true;
 }
 
+boost::intrusive_ptr<upstream_link>
+upstream_pool::open_link(replica_number number)
+{
+    auto connecting = connect_tcp(
+        catalog_->at(number).published.address, upstream_keep_alive);
+    if (!connecting)
+        return nullptr;
+    boost::intrusive_ptr<upstream_link> made{
+        new upstream_link{*this, number, std::move(*connecting)}};
+    made->start();
+    ++opened_;
+    return made;
+}
+
 bool upstream_pool::send(
     replica_number number, upstream_request request, std::uint32_t most)
 {
