--- /dev/null
+++ b/core/src/experiment/experiment_setup.cpp
@@ -0,0 +1,85 @@
+#include "experiment.hpp"
+
+namespace peridotward {
+
+namespace {
+
+constexpr double slow_share = 1.0 / 6;
+constexpr double shedding_share = 0.5;
+constexpr double losing_share = 0.2;
+
+} // namespace
+
+experiment::experiment(
+    load_pattern pattern,
+    const forward_policy& policy,
+    std::uint64_t seed,
+    const experiment_size& size)
+    : pattern_{pattern},
+      policy_{policy},
+      size_{size},
+      random_{seed},
+      asked_(size.shards),
+      repeated_(size.shards)
+{
+    build_config();
+    replicas_.resize(static_cast<std::size_t>(size.shards) * size.replicas);
+    const double share = pattern == load_pattern::slow       ? slow_share
+                         : pattern == load_pattern::shedding ? shedding_share
+                                                             : losing_share;
+    for (std::uint32_t i = 0; i < replicas_.size(); ++i) {
+        replicas_[i].number = i;
+        replicas_[i].faulty = random_.unit() < share;
+        replicas_[i].pause_offset = milliseconds{
+            random_.below(static_cast<std::uint64_t>(pause_interval.count()))};
+    }
+    if (pattern == load_pattern::shedding) {
+        for (std::uint32_t shard = 0; shard < size.shards; ++shard)
+            replicas_
+                [static_cast<std::size_t>(shard) * size.replicas +
+                 random_.below(size.replicas)]
+                    .faulty = false;
+    }
+    build_instances(seed);
+}
+
+void experiment::build_config()
+{
+    auto built = std::make_shared<forward_config>();
+    forward_route route;
+    route.name = "search";
+    route.timeout = size_.timeout;
+    route.target_latency = size_.target;
+    route.max_attempts = policy_.repeats ? 2 : 1;
+    route.top_records = 10;
+    route.least_shard_share = policy_.partial ? 0.89 : 1.0;
+    for (std::uint32_t shard = 0; shard < size_.shards; ++shard) {
+        built->services.push_back({"s" + std::to_string(shard), "/", 0, {}, 0});
+        route.shards.push_back(shard);
+    }
+    built->routes.push_back(std::move(route));
+    config_ = std::move(built);
+}
+
+void experiment::build_instances(std::uint64_t seed)
+{
+    for (std::uint32_t i = 0; i < size_.instances; ++i) {
+        auto made = std::make_unique<simulated_instance>(
+            seed * 1000 + i, "d" + std::to_string(i % size_.replicas));
+        made->repeats.started(experiment_start - seconds{60});
+        made->repeats.instances(size_.instances);
+        made->fleet.self = "i" + std::to_string(i);
+        for (const auto& known : replicas_) {
+            upstream_record record;
+            record.id = "r" + std::to_string(known.number);
+            record.service =
+                "s" + std::to_string(known.number / size_.replicas);
+            record.domain = "d" + std::to_string(known.number % size_.replicas);
+            record.slots = size_.slots;
+            made->catalog.publish(std::move(record), experiment_start);
+        }
+        instances_.push_back(std::move(made));
+    }
+}
+
+} // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_link.hpp
+++ b/gateway/include/peridotward/gateway/upstream_link.hpp
@@ -178,7 +178,8 @@
     /// \brief Closes what waited too long.
     void check(time_point now);
 
-    /// \brief Closes the idle connections of a replica that ended.
+    /// \brief Closes the idle connections of a replica that ended, and reports
+    /// what waits for it as unsent.
     void forget(replica_number number);
 
     [[nodiscard]] std::size_t connections() const;
--- a/gateway/src/upstream_link.cpp
+++ b/gateway/src/upstream_link.cpp
@@ -491,6 +491,8 @@
         if (link.idle())
             link.close();
     }
+    while (const auto request = links_[number].waiting.pop(loop_->now()))
+        report_unsent(*request);
 }
 
 std::size_t upstream_pool::connections() const
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -190,3 +190,17 @@
     CHECK(owner->ended.front() == std::pair{1U, forward_outcome::unsent});
     replica.pool.abort_all(*owner);
 }
+
+TEST_CASE("pool: nothing waits for a replica that ended", "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    const boost::intrusive_ptr<patient_owner> owner{new patient_owner};
+    REQUIRE(owner->send(replica, 0, seconds{9}));
+    REQUIRE(owner->send(replica, 1, seconds{9}));
+    replica.pool.forget(0);
+    REQUIRE(owner->ended.size() == 1);
+    CHECK(owner->ended.front() == std::pair{1U, forward_outcome::unsent});
+    CHECK(replica.pool.waiting() == 0);
+    replica.pool.abort_all(*owner);
+}
