--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,6 +10,6 @@
 [ ${#sources[@]} -gt 0 ] ||
     mapfile -t sources < <(git ls-files '*/src/*.cpp' '*/main/*.cpp')
 printf '%s\0' "${sources[@]}" |
-    xargs -0 -n 4 -P "$(nproc)" clang-tidy --quiet -p build/release \
+    xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p build/release \
         2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2)
 tools/check_packages.sh
