--- a/core/include/peridotward/core/placement/replica_choice.hpp
+++ b/core/include/peridotward/core/placement/replica_choice.hpp
@@ -48,8 +48,11 @@
     static constexpr double mix_gain = 1.0 / 64;
     /// Factor on the expected time of a replica in a cold start.
     static constexpr double cold_factor = 2.0;
-    /// A failure or refusal costs about this many usual latencies.
+    /// Usual latencies that a failure costs: the work is done again.
     static constexpr double failure_cost = 8;
+    /// The same for a refusal. Without a repeat left it loses the part, so it
+    /// weighs more than the longest queue that replicas have been seen to keep
+    /// (six requests for each slot).
     static constexpr double refusal_cost = 20;
 
     replica_choice(
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -43,18 +43,12 @@
 
 bool forwarded_request::enough() const noexcept
 {
-    const auto total = static_cast<double>(parts_.size());
-    const double least = route_->scatters() ? route_->least_shard_share : 1.0;
-    return in_ > 0 && in_ / total >= least - share_tolerance;
+    return in_ > 0 && in_ + spare_parts() >= part_count();
 }
 
 bool forwarded_request::hopeless() const noexcept
 {
-    const auto total = static_cast<double>(parts_.size());
-    const double least = route_->scatters() ? route_->least_shard_share : 1.0;
-    const auto reachable = parts_.size() - given_up_;
-    return reachable == 0 ||
-           static_cast<double>(reachable) / total < least - share_tolerance;
+    return given_up_ == part_count() || given_up_ > spare_parts();
 }
 
 forward_end forwarded_request::failure() const noexcept
