--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -8,7 +8,7 @@
 #include <peridotward/gateway/gateway_settings.hpp>
 #include <peridotward/gateway/http_session.hpp>
 #include <peridotward/gateway/protocol_names.hpp>
-#include <peridotward/gateway/upstream_link.hpp>
+#include <peridotward/gateway/upstream_pool.hpp>
 
 #include <string>
 #include <unordered_map>
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -1,4 +1,4 @@
-#include <peridotward/gateway/upstream_link.hpp>
+#include <peridotward/gateway/upstream_pool.hpp>
 
 #include <catch2/catch.hpp>
 
