--- /dev/null
+++ b/tests/standins/store_state.cpp
@@ -0,0 +1,142 @@
+#include "store_state.hpp"
+
+#include <peridotward/base/json.hpp>
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace peridotward::testing {
+
+namespace {
+
+std::string base64(const std::string& text)
+{
+    std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char*>(encoded.data()),
+        reinterpret_cast<const unsigned char*>(text.data()),
+        static_cast<int>(text.size()));
+    encoded.resize(static_cast<std::size_t>(length));
+    return encoded;
+}
+
+} // namespace
+
+std::string query_parameter(std::string_view target, std::string_view key)
+{
+    auto query = target.substr(std::min(target.find('?'), target.size()));
+    while (!query.empty()) {
+        query.remove_prefix(1);
+        const auto end = std::min(query.find('&'), query.size());
+        const auto parameter = query.substr(0, end);
+        if (parameter.starts_with(key) && parameter.size() > key.size() &&
+            parameter[key.size()] == '=') {
+            std::string value;
+            const auto text = parameter.substr(key.size() + 1);
+            for (std::size_t i = 0; i < text.size(); ++i) {
+                if (text[i] == '%' && i + 2 < text.size()) {
+                    value += static_cast<char>(std::stoi(
+                        std::string{text.substr(i + 1, 2)}, nullptr, 16));
+                    i += 2;
+                }
+                else
+                    value += text[i];
+            }
+            return value;
+        }
+        query.remove_prefix(end);
+    }
+    return {};
+}
+
+std::uint64_t query_number(std::string_view target, std::string_view key)
+{
+    const auto value = query_parameter(target, key);
+    return value.empty() ? 0 : std::stoull(value);
+}
+
+void store_state::put(const std::string& key, const std::string& value)
+{
+    items_[key] = {value, ++revision_, false};
+}
+
+void store_state::remove(const std::string& key)
+{
+    items_[key] = {"", ++revision_, true};
+}
+
+void store_state::take_copy()
+{
+    copy_ = {items_, revision_};
+}
+
+void store_state::restore_copy()
+{
+    if (!copy_)
+        throw std::logic_error{"store stand-in: no copy was taken"};
+    items_ = copy_->items;
+    revision_ = copy_->revision;
+    oldest_revision_ = std::min(oldest_revision_, revision_);
+    ++era_;
+}
+
+store_answer store_state::list(
+    const std::string& after_key, std::size_t items_per_page) const
+{
+    auto items = json::array();
+    bool has_more = false;
+    for (auto it = items_.upper_bound(after_key); it != items_.end(); ++it) {
+        if (it->second.removed)
+            continue;
+        has_more = items.size() == items_per_page;
+        if (has_more)
+            break;
+        items.push_back(
+            {{"key", it->first},
+             {"value", base64(it->second.value)},
+             {"revision", it->second.revision}});
+    }
+    return {
+        200,
+        json{
+            {"items", items},
+            {"hasMore", has_more},
+            {"storeRevision", revision_}}
+            .dump()};
+}
+
+std::optional<store_answer>
+store_state::changes_after(std::uint64_t revision) const
+{
+    if (revision < oldest_revision_ || revision > revision_)
+        return store_answer{410, "this history is not available"};
+    if (revision == revision_)
+        return std::nullopt;
+    std::map<std::uint64_t, json> events;
+    for (const auto& [key, stored] : items_) {
+        if (stored.revision <= revision)
+            continue;
+        auto& event = events[stored.revision] = {
+            {"key", key}, {"revision", stored.revision}};
+        if (stored.removed)
+            event["removed"] = true;
+        else
+            event["value"] = base64(stored.value);
+    }
+    auto list = json::array();
+    for (auto& [event_revision, event] : events)
+        list.push_back(std::move(event));
+    return store_answer{
+        200, json{{"events", list}, {"storeRevision", revision_}}.dump()};
+}
+
+store_answer store_state::no_changes() const
+{
+    return {
+        200,
+        json{{"events", json::array()}, {"storeRevision", revision_}}.dump()};
+}
+
+} // namespace peridotward::testing
--- /dev/null
+++ b/tests/standins/store_state.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace peridotward::testing {
+
+/// One answer of the platform's store.
+struct store_answer
+{
+    unsigned status = 200;
+    std::string body;
+};
+
+/// The items and the change history of a stand-in for the platform's store,
+/// without input and output.
+class store_state
+{
+public:
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    /// Discards the change history: a watch from an older revision gets 410.
+    void compact() { oldest_revision_ = revision_; }
+
+    /// Stores a copy of all items, which `restore_copy` returns to.
+    void take_copy();
+
+    /// Loses all changes since `take_copy`. The revisions of the lost changes
+    /// are given out again, and a new era begins.
+    /// \throws std::logic_error when there is no copy.
+    void restore_copy();
+
+    /// \param items_per_page The answer holds at most so many items.
+    [[nodiscard]] store_answer
+    list(const std::string& after_key, std::size_t items_per_page) const;
+
+    /// \returns The changes after `revision`, 410 if they are not known, or
+    /// nothing while there are none, so that the watch has to wait.
+    [[nodiscard]] std::optional<store_answer>
+    changes_after(std::uint64_t revision) const;
+
+    /// \returns The answer to a watch whose waiting time is over.
+    [[nodiscard]] store_answer no_changes() const;
+
+    [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+    [[nodiscard]] std::uint64_t era() const noexcept { return era_; }
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool removed = false;
+    };
+    using item_map = std::map<std::string, item>;
+    struct copy
+    {
+        item_map items;
+        std::uint64_t revision;
+    };
+
+    item_map items_;
+    std::optional<copy> copy_;
+    std::uint64_t revision_ = 1;
+    std::uint64_t oldest_revision_ = 0;
+    std::uint64_t era_ = 1;
+};
+
+/// \returns The value of the parameter `key` in the query of `target`, with
+/// percent-encoding removed; empty if it is missing.
+[[nodiscard]] std::string
+query_parameter(std::string_view target, std::string_view key);
+
+/// \returns The same as a number; 0 if it is missing.
+[[nodiscard]] std::uint64_t
+query_number(std::string_view target, std::string_view key);
+
+} // namespace peridotward::testing
