platform: logs and metrics tell the era of the store and what was read

On-call could not tell a configuration that was missed from one that was read late or turned down: after a return of the store from a copy all three looked like silence. No decision changes: the values are only recorded.

--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -14,12 +14,17 @@
 
 /// Events that change an instance's state, or its view of the members, the
 /// store, the failure domains or the configuration.
-constexpr std::array<std::string_view, 10> instance_state_events{
+constexpr std::array<std::string_view, 15> instance_state_events{
     "started",
     "ready",
     "stopping",
     "config_in_force",
     "config_rejected",
+    "config_read",
+    "store_era",
+    "store_went_back",
+    "store_history_gone",
+    "store_listed",
     "store_lost",
     "store_regained",
     "domain_evacuated",
--- a/gateway/include/peridotward/gateway/counters.hpp
+++ b/gateway/include/peridotward/gateway/counters.hpp
@@ -25,6 +25,9 @@
     /// (`name{label="value"}`) and lacks the prefix `peridotward_`.
     void count(std::string_view name, std::uint64_t step = 1);
 
+    /// \brief Sets the gauge `name`, with the same form of name.
+    void set(std::string_view name, std::uint64_t value);
+
     /// \brief Counts a finished request and records its latency.
     void record_request(
         std::string_view route, std::string_view outcome, duration elapsed);
--- a/gateway/src/counters.cpp
+++ b/gateway/src/counters.cpp
@@ -13,6 +13,11 @@
         found->second += step;
 }
 
+void counters::set(std::string_view name, std::uint64_t value)
+{
+    counters_.insert_or_assign(std::string{name}, value);
+}
+
 void counters::record_request(
     std::string_view route, std::string_view outcome, duration elapsed)
 {
