platform, core: an era is part of every position in the store's history

Callers were refused on a route that had been acknowledged long before, by all instances or by all followers of a large fleet, until the next return of the store or a restart.

Cause: a position was a revision alone. When the store comes back from an older copy it gives the revisions of the lost changes out again, so a position from before means something else afterwards. A watch that was resumed from it skipped what had been written below it; a reader let its followers wait, and answered with their own higher revision; the catalog ignored publications whose revision was lower than the one known.

Change: store_position is era and revision. A listing counts whatever its revisions are.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/core/discovery/upstream_record.hpp>
 #include <peridotward/core/placement/replica_health.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -23,8 +24,13 @@
     upstream_record published;
     replica_health health;
     time_point cold_until;
-    /// When the publication disappeared; used only if no other replica serves.
+    /// When the publication disappeared; used only if no other replica serves,
+    /// unless the store lost the publication.
     std::optional<time_point> unpublished_at;
+    bool publication_lost = false;
+    /// When the store lost the publication that said that the replica drains;
+    /// it counts as draining until `expire`.
+    std::optional<time_point> drain_lost_at;
 
     [[nodiscard]] bool cold(time_point now) const noexcept
     {
@@ -40,11 +46,23 @@
     excluded,    ///< Draining, or in an evacuated failure domain.
 };
 
+/// \brief All upstreams and exclusions in the store at one time.
+struct store_listing
+{
+    std::vector<upstream_record> upstreams;
+    std::set<std::string, std::less<>> excluded_domains;
+};
+
 /// \brief The published upstreams, by service.
 ///
 /// \remarks A publication may lapse while the store is down; it then returns
 /// within `lapse_return` after the store does. Until that time has passed the
 /// replica stays usable when there is no better one.
+///
+/// \remarks A store that comes back from an older copy of itself lacks the
+/// latest publications and exclusions; their writers publish them again within
+/// the same time. Until then what was known before stays in use, afterwards the
+/// listing alone counts.
 class upstream_catalog
 {
 public:
@@ -59,13 +77,16 @@
     /// \brief Marks the publication `id` as gone.
     void withdraw(std::string_view id, time_point now);
 
-    /// \brief Replaces all publications; those not in the listing are
-    /// withdrawn.
-    void replace(std::vector<upstream_record> listing, time_point now);
+    /// \brief Replaces all publications and exclusions; publications that are
+    /// not in the listing are withdrawn.
+    void replace(store_listing listing, time_point now);
+
+    /// \brief Does the same with the listing of a store that has lost its
+    /// latest changes; what these said stays in use until `expire`.
+    void replace_restored(store_listing listing, time_point now);
 
     /// \brief Excludes or readmits all upstreams of a failure domain.
     void set_domain_excluded(std::string_view domain, bool excluded);
-    void set_excluded_domains(std::set<std::string, std::less<>> domains);
 
     /// \returns The live replicas of `service`; empty for an unknown service.
     [[nodiscard]] const std::vector<replica_number>&
@@ -83,11 +104,18 @@
     [[nodiscard]] replica_availability
     availability(const replica& candidate) const noexcept;
 
-    /// \brief Removes the replicas whose publication has not returned in time.
+    /// \brief Removes the replicas whose publication has not returned in time,
+    /// and ends lost drains that were not published again.
     ///
     /// \returns The numbers of the removed replicas.
     std::vector<replica_number> expire(time_point now);
 
+    /// \brief Readmits the failure domains whose lost exclusion was not
+    /// published again in time.
+    ///
+    /// \returns The readmitted domains.
+    std::vector<std::string> expire_exclusions(time_point now);
+
     /// \returns The numbers of all replicas that were not removed.
     [[nodiscard]] std::vector<replica_number> live() const;
 
@@ -100,11 +128,15 @@
 private:
     void add(upstream_record record, time_point now);
     void remove(replica_number number);
+    /// Applies a record regardless of its position.
+    void update(replica& target, upstream_record record, time_point now);
 
     std::vector<std::unique_ptr<replica>> replicas_;
     std::unordered_map<std::string, replica_number> by_id_;
     std::unordered_map<std::string, std::vector<replica_number>> by_service_;
     std::set<std::string, std::less<>> excluded_;
+    /// When the store lost the exclusion of a domain.
+    std::map<std::string, time_point, std::less<>> lost_exclusions_;
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/discovery/upstream_record.hpp
+++ b/core/include/peridotward/core/discovery/upstream_record.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/base/endpoint.hpp>
 #include <peridotward/base/time.hpp>
+#include <peridotward/core/discovery/store_position.hpp>
 
 #include <cstdint>
 #include <string>
@@ -19,7 +20,7 @@
     bool draining = false;
     duration cold_start_remaining{}; ///< Remaining cold start when published.
     std::uint64_t start_id = 0;      ///< Distinguishes restarts; 0 if unknown.
-    std::uint64_t revision = 0;      ///< Of the publication.
+    store_position position;         ///< Of the publication.
 };
 
 } // namespace peridotward
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -34,6 +34,14 @@
         return;
     }
     auto& target = at(found->second);
+    if (record.position < target.published.position)
+        return;
+    update(target, std::move(record), now);
+}
+
+void upstream_catalog::update(
+    replica& target, upstream_record record, time_point now)
+{
     const bool restarted = target.published.start_id != record.start_id ||
                            target.published.address != record.address ||
                            target.published.service != record.service;
@@ -43,9 +51,9 @@
         add(std::move(record), now);
         return;
     }
-    if (record.revision < target.published.revision)
-        return;
     target.unpublished_at.reset();
+    target.publication_lost = false;
+    target.drain_lost_at.reset();
     target.cold_until = now + record.cold_start_remaining;
     target.published = std::move(record);
 }
@@ -60,23 +68,67 @@
         target.unpublished_at = now;
 }
 
-void upstream_catalog::replace(
-    std::vector<upstream_record> listing, time_point now)
+void upstream_catalog::replace(store_listing listing, time_point now)
 {
     std::set<std::string> listed;
-    for (const auto& record : listing)
+    for (const auto& record : listing.upstreams)
         listed.insert(record.id);
     for (const auto number : live()) {
         if (!listed.contains(at(number).published.id))
             withdraw(at(number).published.id, now);
     }
-    for (auto& record : listing)
-        publish(std::move(record), now);
+    for (auto& record : listing.upstreams) {
+        const auto found = by_id_.find(record.id);
+        if (found == by_id_.end())
+            add(std::move(record), now);
+        else
+            update(at(found->second), std::move(record), now);
+    }
+    excluded_ = std::move(listing.excluded_domains);
+    lost_exclusions_.clear();
+}
+
+void upstream_catalog::replace_restored(store_listing listing, time_point now)
+{
+    // An earlier start of an upstream can't follow a later one, so the record
+    // of the later one is among the lost changes.
+    std::erase_if(listing.upstreams, [&](const upstream_record& record) {
+        const auto known = by_id_.find(record.id);
+        return known != by_id_.end() &&
+               record.start_id < at(known->second).published.start_id;
+    });
+    std::vector<replica_number> published;
+    std::vector<replica_number> draining;
+    for (const auto number : live()) {
+        auto& known = at(number);
+        // A publication that an earlier return lost may be lost once more.
+        if (known.publication_lost)
+            known.unpublished_at.reset();
+        if (!known.unpublished_at)
+            published.push_back(number);
+        if (known.published.draining || known.drain_lost_at)
+            draining.push_back(number);
+    }
+    const auto excluded_before = excluded_;
+    replace(std::move(listing), now);
+    for (const auto number : published)
+        at(number).publication_lost = at(number).unpublished_at.has_value();
+    for (const auto number : draining) {
+        if (!at(number).published.draining)
+            at(number).drain_lost_at = now;
+    }
+    for (const auto& domain : excluded_before) {
+        if (excluded_.insert(domain).second)
+            lost_exclusions_.emplace(domain, now);
+    }
 }
 
 void upstream_catalog::set_domain_excluded(
     std::string_view domain, bool excluded)
 {
+    if (const auto lost = lost_exclusions_.find(domain);
+        lost != lost_exclusions_.end())
+        lost_exclusions_.erase(lost);
     if (excluded)
         excluded_.emplace(domain);
     else if (const auto found = excluded_.find(domain);
@@ -84,12 +136,6 @@
         excluded_.erase(found);
 }
 
-void upstream_catalog::set_excluded_domains(
-    std::set<std::string, std::less<>> domains)
-{
-    excluded_ = std::move(domains);
-}
-
 const std::vector<replica_number>&
 upstream_catalog::of_service(std::string_view service) const
 {
@@ -102,17 +148,22 @@
 upstream_catalog::availability(const replica& candidate) const noexcept
 {
     const auto& published = candidate.published;
-    if (published.draining || excluded_.contains(published.domain))
+    if (published.draining || candidate.drain_lost_at ||
+        excluded_.contains(published.domain))
         return replica_availability::excluded;
-    return candidate.unpublished_at ? replica_availability::unpublished
-                                    : replica_availability::serving;
+    const bool withdrawn =
+        candidate.unpublished_at && !candidate.publication_lost;
+    return withdrawn ? replica_availability::unpublished
+                     : replica_availability::serving;
 }
 
 std::vector<replica_number> upstream_catalog::expire(time_point now)
 {
     std::vector<replica_number> removed;
     for (const auto number : live()) {
-        const auto& target = at(number);
+        auto& target = at(number);
+        if (target.drain_lost_at && now - *target.drain_lost_at >= lapse_return)
+            target.drain_lost_at.reset();
         if (target.unpublished_at &&
             now - *target.unpublished_at >= lapse_return) {
             remove(number);
@@ -122,6 +173,18 @@
     return removed;
 }
 
+std::vector<std::string> upstream_catalog::expire_exclusions(time_point now)
+{
+    std::vector<std::string> readmitted;
+    for (const auto& [domain, lost_at] : lost_exclusions_) {
+        if (now - lost_at >= lapse_return)
+            readmitted.push_back(domain);
+    }
+    for (const auto& domain : readmitted)
+        set_domain_excluded(domain, false);
+    return readmitted;
+}
+
 std::vector<replica_number> upstream_catalog::live() const
 {
     std::vector<replica_number> numbers;
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -16,7 +16,7 @@
     record.address = {"10.0.0.1", 8080};
     record.domain = "d1";
     record.start_id = 7;
-    record.revision = revision;
+    record.position = {1, revision};
     return record;
 }
 
@@ -103,7 +103,7 @@
     upstream_catalog catalog;
     catalog.publish(record_of("a"), start);
     catalog.publish(record_of("b"), start);
-    catalog.replace({record_of("b", 2)}, start);
+    catalog.replace({{record_of("b", 2)}, {}}, start);
     CHECK(catalog.expire(start + seconds{10}).size() == 1);
     REQUIRE(catalog.of_service("s").size() == 1);
     CHECK(catalog.at(catalog.of_service("s").front()).published.id == "b");
@@ -120,3 +120,212 @@
     CHECK(published.cold(start + milliseconds{2999}));
     CHECK_FALSE(published.cold(start + seconds{3}));
 }
+
+namespace {
+
+constexpr auto lapsed = start + upstream_catalog::lapse_return;
+
+upstream_record
+in_era(std::uint64_t era, std::uint64_t revision, std::string id)
+{
+    auto record = record_of(std::move(id), revision);
+    record.position.era = era;
+    return record;
+}
+
+const replica& only_replica(const upstream_catalog& catalog)
+{
+    REQUIRE(catalog.of_service("s").size() == 1);
+    return catalog.at(catalog.of_service("s").front());
+}
+
+replica_availability
+availability_of_only_replica(const upstream_catalog& catalog)
+{
+    return catalog.availability(only_replica(catalog));
+}
+
+} // namespace
+
+// Guards against: a drain is ignored since its revision in the new era is lower
+// than the one known from the earlier era.
+TEST_CASE(
+    "discovery: a later era outranks a higher revision of an earlier one",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 90, "a"), start);
+    auto leaving = in_era(2, 40, "a");
+    leaving.draining = true;
+    catalog.publish(leaving, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+    catalog.publish(in_era(1, 91, "a"), start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+}
+
+TEST_CASE(
+    "discovery: a listing counts whatever its revisions are", "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(record_of("a", 9), start);
+    auto leaving = record_of("a", 4);
+    leaving.draining = true;
+    catalog.replace({{leaving}, {}}, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+}
+
+TEST_CASE(
+    "discovery: an upstream that a restored store lacks serves until it would "
+    "have been published again",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 90, "a"), start);
+    catalog.replace_restored({}, start);
+    CHECK(
+        availability_of_only_replica(catalog) == replica_availability::serving);
+
+    SECTION("published again")
+    {
+        catalog.publish(in_era(2, 40, "a"), start + milliseconds{1500});
+        CHECK(catalog.expire(lapsed + seconds{60}).empty());
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+    SECTION("not published again")
+    {
+        CHECK(catalog.expire(lapsed - milliseconds{1}).empty());
+        CHECK(catalog.expire(lapsed).size() == 1);
+        CHECK(catalog.of_service("s").empty());
+    }
+    SECTION("lost once more by the next return")
+    {
+        catalog.replace_restored({}, start + seconds{2});
+        CHECK(catalog.expire(lapsed + seconds{1}).empty());
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+        CHECK(catalog.expire(lapsed + seconds{2}).size() == 1);
+    }
+}
+
+TEST_CASE(
+    "discovery: a listing of the same history does not keep what it lacks in "
+    "use",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 90, "a"), start);
+    catalog.replace({}, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::unpublished);
+}
+
+TEST_CASE(
+    "discovery: a drain that a restored store lacks holds until it would have "
+    "been published again",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    auto leaving = in_era(1, 90, "a");
+    leaving.draining = true;
+    catalog.publish(leaving, start);
+    catalog.replace_restored({{in_era(2, 40, "a")}, {}}, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+
+    SECTION("published again as ready")
+    {
+        catalog.publish(in_era(2, 41, "a"), start + milliseconds{500});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+    SECTION("not published again")
+    {
+        CHECK(catalog.expire(lapsed).empty());
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+}
+
+TEST_CASE(
+    "discovery: a restored store that names an earlier start of an upstream "
+    "does not replace the later one",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    auto restarted = in_era(1, 90, "a");
+    restarted.start_id = 8;
+    restarted.address = {"10.0.0.2", 8080};
+    catalog.publish(restarted, start);
+    catalog.replace_restored({{in_era(2, 40, "a")}, {}}, start);
+    CHECK(only_replica(catalog).published.start_id == 8);
+    CHECK(
+        availability_of_only_replica(catalog) == replica_availability::serving);
+    CHECK(catalog.expire(lapsed).size() == 1);
+}
+
+TEST_CASE(
+    "discovery: an exclusion that a restored store lacks holds until it would "
+    "have been published again",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 80, "a"), start);
+    catalog.set_domain_excluded("d1", true);
+    catalog.replace_restored({{in_era(2, 40, "a")}, {}}, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+    CHECK(catalog.expire_exclusions(lapsed - milliseconds{1}).empty());
+
+    SECTION("published again")
+    {
+        catalog.set_domain_excluded("d1", true);
+        CHECK(catalog.expire_exclusions(lapsed).empty());
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::excluded);
+    }
+    SECTION("published again and ended")
+    {
+        catalog.set_domain_excluded("d1", true);
+        catalog.set_domain_excluded("d1", false);
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+    SECTION("not published again")
+    {
+        CHECK(
+            catalog.expire_exclusions(lapsed) ==
+            std::vector<std::string>{"d1"});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+}
+
+TEST_CASE(
+    "discovery: an exclusion that only the restored store has counts at once",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 80, "a"), start);
+    catalog.replace_restored({{in_era(2, 40, "a")}, {"d1"}}, start);
+    CHECK(
+        availability_of_only_replica(catalog) ==
+        replica_availability::excluded);
+    CHECK(catalog.expire_exclusions(lapsed).empty());
+}
--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -14,7 +14,7 @@
 
 /// Events that change an instance's state, or its view of the members, the
 /// store, the failure domains or the configuration.
-constexpr std::array<std::string_view, 15> instance_state_events{
+constexpr std::array<std::string_view, 14> instance_state_events{
     "started",
     "ready",
     "stopping",
@@ -22,7 +22,6 @@
     "config_rejected",
     "config_read",
     "store_era",
-    "store_went_back",
     "store_history_gone",
     "store_listed",
     "store_lost",
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -229,6 +229,12 @@
             {{"replica", catalog_.at(ended).published.id},
              {"service", catalog_.at(ended).published.service}});
     }
+    for (const auto& domain : catalog_.expire_exclusions(now))
+        log_->write(
+            now,
+            event_severity::notable,
+            "domain_returned",
+            {{"domain", domain}, {"reason", "the store lost the exclusion"}});
 }
 
 } // namespace peridotward
