--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -46,6 +46,10 @@
     /// \brief Applies the seeds of the changed settings.
     void apply_seeds();
 
+    /// \brief Announces the configuration version that this instance has in
+    /// force.
+    void set_config_version(std::uint64_t version);
+
     /// \brief Announces the load of this instance.
     void set_load(member_load load);
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -104,6 +104,8 @@
     const auto now = loop->now();
     meter.on_timer(timer.due(), now);
     peers.set_load(meter.level());
+    peers.set_config_version(
+        forwarding.config() ? forwarding.config()->version : 0);
     forwarding.check(now);
     callers_listener.check(now);
     ready_listener.check(now);
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -105,6 +105,11 @@
     report_changes();
 }
 
+void peer_gossip::set_config_version(std::uint64_t version)
+{
+    members_.set_config({version, "", 0});
+}
+
 void peer_gossip::leave()
 {
     members_.leave(loop_->now(), outgoing_messages_);
