gateway, core: an upstream that says it is leaving gets no further request

Upstreams now say in all their answers when they leave, before or without the store's word; requests went on to them until the store said so, and failed when they ended.

Such a replica is excluded at once, for retries, hedges, requests that wait for a connection and those whose connection is still being made, on kept connections too. It ends when another start has the address, not by time, and survives a publication that lapses and returns or a store that comes back from a copy. A 421 says nothing about the upstream that was meant. Other instances learn it from their own first answer; no message is added for it. Log line upstream_leaving, metrics upstreams_leaving_total and replicas_leaving, /state.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -31,6 +31,9 @@
     /// When the store lost the publication that said that the replica drains;
     /// it counts as draining until `expire`.
     std::optional<time_point> drain_lost_at;
+    /// Whether the upstream said in an answer that it is leaving; an upstream
+    /// never returns from that within one start.
+    bool leaving = false;
 
     [[nodiscard]] bool cold(time_point now) const noexcept
     {
@@ -43,7 +46,7 @@
 {
     serving,
     unpublished, ///< Publication gone, possibly by a lapse of the store.
-    excluded,    ///< Draining, or in an evacuated failure domain.
+    excluded,    ///< Draining, leaving, or in an evacuated failure domain.
 };
 
 /// \brief All upstreams and exclusions in the store at one time.
@@ -85,6 +88,10 @@
     /// latest changes; what these said stays in use until `expire`.
     void replace_restored(store_listing listing, time_point now);
 
+    /// \brief Records that the upstream says in its answers that it is leaving.
+    /// \returns Whether that is new.
+    bool mark_leaving(replica_number number);
+
     /// \brief Excludes or readmits all upstreams of a failure domain.
     void set_domain_excluded(std::string_view domain, bool excluded);
 
@@ -126,6 +133,15 @@
     }
 
 private:
+    /// One start of an upstream.
+    struct upstream_start
+    {
+        std::string id;
+        std::uint64_t start_id;
+
+        bool operator==(const upstream_start&) const = default;
+    };
+
     void add(upstream_record record, time_point now);
     void remove(replica_number number);
     /// Applies a record regardless of its position.
@@ -135,6 +151,9 @@
     std::unordered_map<std::string, replica_number> by_id_;
     std::unordered_map<std::string, std::vector<replica_number>> by_service_;
     std::set<std::string, std::less<>> excluded_;
+    /// By address: upstreams that were leaving when they were removed, so that
+    /// a publication that lapsed and returns changes nothing.
+    std::map<endpoint, upstream_start> left_;
     /// When the store lost the exclusion of a domain.
     std::map<std::string, time_point, std::less<>> lost_exclusions_;
 };
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -10,6 +10,12 @@
     auto added = std::make_unique<replica>();
     added->number = static_cast<replica_number>(replicas_.size());
     added->cold_until = now + record.cold_start_remaining;
+    if (const auto left = left_.find(record.address); left != left_.end()) {
+        added->leaving =
+            left->second == upstream_start{record.id, record.start_id};
+        if (!added->leaving)
+            left_.erase(left);
+    }
     by_id_[record.id] = added->number;
     by_service_[record.service].push_back(added->number);
     added->published = std::move(record);
@@ -19,6 +25,9 @@
 void upstream_catalog::remove(replica_number number)
 {
     const auto& removed = at(number).published;
+    if (at(number).leaving)
+        left_.insert_or_assign(
+            removed.address, upstream_start{removed.id, removed.start_id});
     auto& listed = by_service_[removed.service];
     std::erase(listed, number);
     const auto found = by_id_.find(removed.id);
@@ -123,6 +132,11 @@
     }
 }
 
+bool upstream_catalog::mark_leaving(replica_number number)
+{
+    return !std::exchange(at(number).leaving, true);
+}
+
 void upstream_catalog::set_domain_excluded(
     std::string_view domain, bool excluded)
 {
@@ -148,7 +162,7 @@
 upstream_catalog::availability(const replica& candidate) const noexcept
 {
     const auto& published = candidate.published;
-    if (published.draining || candidate.drain_lost_at ||
+    if (published.draining || candidate.drain_lost_at || candidate.leaving ||
         excluded_.contains(published.domain))
         return replica_availability::excluded;
     const bool withdrawn =
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -329,3 +329,57 @@
         replica_availability::excluded);
     CHECK(catalog.expire_exclusions(lapsed).empty());
 }
+
+TEST_CASE(
+    "discovery: a leaving upstream stays excluded until another start has its "
+    "address",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 80, "a"), start);
+    CHECK(catalog.mark_leaving(0));
+    CHECK_FALSE(catalog.mark_leaving(0));
+
+    SECTION("published again as ready")
+    {
+        catalog.publish(in_era(1, 81, "a"), start + seconds{60});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::excluded);
+    }
+    SECTION("its publication lapses and returns")
+    {
+        catalog.withdraw("a", start);
+        CHECK(catalog.expire(lapsed).size() == 1);
+        catalog.publish(in_era(1, 82, "a"), start + seconds{60});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::excluded);
+    }
+    SECTION("listed by a restored store")
+    {
+        catalog.replace_restored({{in_era(2, 40, "a")}, {}}, start);
+        catalog.expire(lapsed);
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::excluded);
+    }
+    SECTION("started again")
+    {
+        auto again = in_era(1, 82, "a");
+        again.start_id = 8;
+        catalog.publish(again, start + seconds{60});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+    SECTION("another upstream has the address")
+    {
+        catalog.withdraw("a", start);
+        catalog.expire(lapsed);
+        catalog.publish(in_era(1, 82, "b"), start + seconds{60});
+        CHECK(
+            availability_of_only_replica(catalog) ==
+            replica_availability::serving);
+    }
+}
--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -30,8 +30,8 @@
     "domain_returned",
     "members_changed"};
 /// Events that change an instance's view of one replica.
-constexpr std::array<std::string_view, 2> replica_state_events{
-    "upstream_published", "replica_ended"};
+constexpr std::array<std::string_view, 3> replica_state_events{
+    "upstream_published", "upstream_leaving", "replica_ended"};
 
 template<std::size_t Size>
 bool any_of(
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 
 namespace peridotward {
 
@@ -61,6 +62,13 @@
     /// reports its queued requests as unsent.
     void remove_replica(replica_number number);
 
+    /// \returns Whether the replica, as far as it and the operators say, may
+    /// get new requests.
+    [[nodiscard]] bool wants_requests(replica_number number) const;
+
+    /// Called when a replica says in an answer that it is leaving.
+    std::function<void(replica_number)> on_leaving;
+
     [[nodiscard]] std::size_t connection_count() const;
 
     /// \returns The number of queued requests.
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -20,11 +20,16 @@
     gauge("upstream_connections_opened_total", forwarding_->pool().opened());
     gauge("log_lines_dropped_total", log_->dropped());
     std::uint64_t cold = 0;
+    std::uint64_t leaving = 0;
     const auto live = forwarding_->catalog().live();
-    for (const auto number : live)
-        cold += forwarding_->catalog().at(number).cold(loop_->now()) ? 1 : 0;
+    for (const auto number : live) {
+        const auto& replica = forwarding_->catalog().at(number);
+        cold += replica.cold(loop_->now()) ? 1 : 0;
+        leaving += replica.leaving ? 1 : 0;
+    }
     gauge("replicas", live.size());
     gauge("replicas_cold", cold);
+    gauge("replicas_leaving", leaving);
     return text;
 }
 
@@ -49,6 +54,7 @@
               : availability == replica_availability::unpublished ? "fading"
                                                                   : "barred"},
              {"cold", replica.cold(now)},
+             {"leaving", replica.leaving},
              {"slowness", replica.health.slowness(now)},
              {"failure_share", replica.health.failure_share(now)},
              {"shed_share", replica.health.shed_share(now)},
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -78,6 +78,17 @@
 {
     fleet_.self = settings.listen.peers.text();
     retry_budgets_.started(loop.now());
+    pool_.on_leaving = [this](replica_number number) {
+        const auto& published = catalog_.at(number).published;
+        stats_->count("upstreams_leaving_total");
+        log_->write(
+            loop_->now(),
+            event_severity::notable,
+            "upstream_leaving",
+            {{"replica", published.id},
+             {"service", published.service},
+             {"source", "answer"}});
+    };
 }
 
 forwarder::~forwarder() = default;
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -15,6 +15,8 @@
 /// Size of the read buffer, and the output capacity above which an idle
 /// connection frees the unused part.
 constexpr std::size_t read_bytes = 16384;
+/// Another upstream has the address.
+constexpr std::uint32_t misdirected_request = 421;
 
 std::optional<std::uint32_t> parse_number(std::string_view text)
 {
@@ -116,6 +118,13 @@
         idle_since_ = pool_->loop().now();
         return;
     }
+    if (!pool_->wants_requests(replica_)) {
+        // The replica said so while this connection was being made.
+        phase_ = phase::idle;
+        idle_since_ = pool_->loop().now();
+        report(forward_outcome::unsent, nullptr);
+        return;
+    }
     phase_ = phase::busy;
     flush();
 }
@@ -242,6 +251,11 @@
         if (const auto remaining = parse_number(*text))
             replica.cold_until = now + milliseconds{*remaining};
     }
+    const bool leaving =
+        answer_.status != misdirected_request &&
+        answer_.fields.find(pool_->names().leaving).value_or("") == "1";
+    if (leaving && pool_->catalog().mark_leaving(replica_) && pool_->on_leaving)
+        pool_->on_leaving(replica_);
     usable_until_ = time_point::max();
     if (const auto text = answer_.fields.find("Keep-Alive")) {
         if (const auto idle = parse_idle_time(*text))
@@ -251,7 +265,6 @@
 
 forward_outcome upstream_connection::outcome_of_answer() const
 {
-    constexpr std::uint32_t misdirected_request = 421;
     if (answer_.status == misdirected_request)
         return forward_outcome::misdirected;
     if (answer_.fields.find(pool_->names().not_run))
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -20,11 +20,16 @@
     return connections_[number];
 }
 
+bool upstream_pool::wants_requests(replica_number number) const
+{
+    return catalog_->availability(catalog_->at(number)) !=
+           replica_availability::excluded;
+}
+
 bool upstream_pool::accepts_requests(replica_number number) const
 {
-    const auto& replica = catalog_->at(number);
-    return catalog_->availability(replica) != replica_availability::excluded &&
-           !replica.health.unreachable(loop_->now());
+    return wants_requests(number) &&
+           !catalog_->at(number).health.unreachable(loop_->now());
 }
 
 bool upstream_pool::try_send(replica_number number, upstream_request& request)
--- a/soak/standins/store.cpp
+++ b/soak/standins/store.cpp
@@ -1,33 +1,11 @@
 #include "store.hpp"
 
-#include <peridotward/base/json.hpp>
-
-#include <boost/beast/core/detail/base64.hpp>
+#include <limits>
 
 namespace peridotward::soak {
 
 using namespace testing;
 
-namespace {
-
-std::string base64(const std::string& text)
-{
-    namespace coder = boost::beast::detail::base64;
-    std::string out(coder::encoded_size(text.size()), '\0');
-    out.resize(coder::encode(out.data(), text.data(), text.size()));
-    return out;
-}
-
-std::uint64_t number_in(const std::string& target, const std::string& key)
-{
-    const auto position = target.find(key + "=");
-    return position == std::string::npos
-               ? 0
-               : std::stoull(target.substr(position + key.size() + 1));
-}
-
-} // namespace
-
 store::store(net::io_context& context, std::string host, std::uint16_t port)
     : context_{&context}
 {
@@ -40,90 +18,83 @@
 
 void store::put(const std::string& key, const std::string& value)
 {
-    items_[key] = {value, ++revision_, false};
+    state_.put(key, value);
     answer_watches();
 }
 
 void store::remove(const std::string& key)
 {
-    items_[key] = {"", ++revision_, true};
+    state_.remove(key);
     answer_watches();
 }
 
-std::string store::listing() const
+void store::set_away(bool away)
 {
-    auto items = json::array();
-    for (const auto& [key, stored] : items_) {
-        if (!stored.removed)
-            items.push_back(
-                {{"key", key},
-                 {"value", base64(stored.value)},
-                 {"revision", stored.revision}});
-    }
-    return json{
-        {"items", items}, {"hasMore", false}, {"storeRevision", revision_}}
-        .dump();
+    away_ = away;
+    for (auto& pending : watches_)
+        pending.timer->cancel();
+    watches_.clear();
 }
 
-std::string store::events_after(std::uint64_t revision) const
+void store::send(const respond& answer, const store_answer& content) const
 {
-    std::map<std::uint64_t, json> events;
-    for (const auto& [key, stored] : items_) {
-        if (stored.revision <= revision)
-            continue;
-        if (stored.removed)
-            events[stored.revision] = {
-                {"key", key}, {"revision", stored.revision}, {"removed", true}};
-        else
-            events[stored.revision] = {
-                {"key", key},
-                {"value", base64(stored.value)},
-                {"revision", stored.revision}};
-    }
-    auto list = json::array();
-    for (auto& [event_revision, event] : events)
-        list.push_back(std::move(event));
-    return json{{"events", list}, {"storeRevision", revision_}}.dump();
+    auto response = make_response(content.status, content.body);
+    response.set("Store-Era", std::to_string(state_.era()));
+    answer(std::move(response), {});
 }
 
 void store::answer_watches()
 {
+    if (away_)
+        return;
     auto pending_watches = std::exchange(watches_, {});
     for (auto& pending : pending_watches) {
-        pending.timer->cancel();
-        pending.answer(make_response(200, events_after(pending.after)), {});
+        if (const auto content = state_.changes_after(pending.after)) {
+            pending.timer->cancel();
+            send(pending.answer, *content);
+        }
+        else
+            watches_.push_back(std::move(pending));
     }
 }
 
 void store::on_request(standin_request request, respond answer)
 {
     const std::string target{request.target()};
-    if (down_) {
-        answer(make_response(503, "down"), {});
+    if (away_) {
+        answer(make_response(200, ""), {.hang = true});
         return;
     }
-    if (target.starts_with("/kv-range")) {
-        answer(make_response(200, listing()), {});
+    if (down_) {
+        send(answer, {503, "down"});
         return;
     }
-    const auto after = number_in(target, "after");
-    if (after < oldest_revision_) {
-        answer(make_response(410, "history is gone"), {});
+    if (target.starts_with("/kv-range")) {
+        send(
+            answer,
+            state_.list(
+                query_parameter(target, "after"),
+                std::numeric_limits<std::size_t>::max()));
         return;
     }
-    if (after < revision_) {
-        answer(make_response(200, events_after(after)), {});
+    const auto after = query_number(target, "after");
+    if (const auto content = state_.changes_after(after)) {
+        send(answer, *content);
         return;
     }
     auto timer = std::make_shared<net::steady_timer>(
-        *context_, std::chrono::milliseconds{number_in(target, "waitMs")});
-    const auto pending =
-        watches_.insert(watches_.end(), {after, std::move(answer), timer});
-    timer->async_wait([this, pending](boost::system::error_code code) {
-        if (code)
+        *context_, std::chrono::milliseconds{query_number(target, "waitMs")});
+    watches_.push_back({after, std::move(answer), timer});
+    timer->async_wait([this, timer](boost::system::error_code code) {
+        const auto pending = std::find_if(
+            watches_.begin(), watches_.end(), [&](const watch& each) {
+                return each.timer == timer;
+            });
+        if (code || pending == watches_.end())
             return;
-        pending->answer(make_response(200, events_after(pending->after)), {});
+        const auto waiting = std::move(*pending);
         watches_.erase(pending);
+        send(waiting.answer, state_.no_changes());
     });
 }
 
--- a/soak/standins/store.hpp
+++ b/soak/standins/store.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <http_standin.hpp>
+#include <store_state.hpp>
 
 #include <cstdint>
 #include <list>
-#include <map>
 #include <string>
 
 namespace peridotward::soak {
@@ -22,18 +22,18 @@
     void remove(const std::string& key);
 
     /// Discards the change history: a watch from an older revision gets 410.
-    void compact() { oldest_revision_ = revision_; }
+    void compact() { state_.compact(); }
 
     /// While set, each call is refused with 503.
     void set_down(bool refuse) { down_ = refuse; }
 
+    void take_copy() { state_.take_copy(); }
+    /// Forgets all waiting watches; while set, calls get no answer.
+    void set_away(bool away);
+    /// Loses all changes since `take_copy`; a new era begins.
+    void restore_copy() { state_.restore_copy(); }
+
 private:
-    struct item
-    {
-        std::string value;
-        std::uint64_t revision = 0;
-        bool removed = false;
-    };
     struct watch
     {
         std::uint64_t after;
@@ -43,15 +43,15 @@
 
     void on_request(testing::standin_request request, testing::respond answer);
     void answer_watches();
-    [[nodiscard]] std::string events_after(std::uint64_t revision) const;
-    [[nodiscard]] std::string listing() const;
+    void send(
+        const testing::respond& answer,
+        const testing::store_answer& content) const;
 
     testing::net::io_context* context_;
-    std::map<std::string, item> items_;
+    testing::store_state state_;
     std::list<watch> watches_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t oldest_revision_ = 0;
     bool down_ = false;
+    bool away_ = false;
 };
 
 } // namespace peridotward::soak
