gateway, core: an upstream that answers 503 with Retry-After is left alone

An upstream that turns a request away may now say for how long it wants nothing from this instance. Requests went on to it at the usual rate, since a refusal only made it less likely to be chosen.

Change: the time is read in gateway/retry_after (seconds, fractions too, at most one hour; a date, a negative or malformed value counts as no field, see docs) and becomes replica_health::pause_until, the longest one in force. A paused replica is chosen for nothing: first attempts, retries, hedges, requests that wait for a connection or whose connection is being made. It survives a publication that lapses and returns, and ends with another start. When all replicas of a shard are away so, a request that can't do without it is refused at once, and its Retry-After is a place of its own after the first pause ends. retry_schedule passed std::clamp an upper bound below its lower one for an estimate beyond its maximum, which is undefined; the bound of 5 s holds as before. Log line upstream_paused; request_end counts the replicas of missing parts that got nothing, by reason, and explain says so; metrics replicas_paused, upstream_pauses_total.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -133,13 +133,13 @@
     }
 
 private:
-    /// One start of an upstream.
-    struct upstream_start
+    /// What one start of an upstream said of itself in its answers.
+    struct upstream_notice
     {
         std::string id;
         std::uint64_t start_id;
-
-        bool operator==(const upstream_start&) const = default;
+        bool leaving;
+        time_point paused_until;
     };
 
     void add(upstream_record record, time_point now);
@@ -151,9 +151,9 @@
     std::unordered_map<std::string, replica_number> by_id_;
     std::unordered_map<std::string, std::vector<replica_number>> by_service_;
     std::set<std::string, std::less<>> excluded_;
-    /// By address: upstreams that were leaving when they were removed, so that
-    /// a publication that lapsed and returns changes nothing.
-    std::map<endpoint, upstream_start> left_;
+    /// By address: notices of removed upstreams, so that a publication that
+    /// lapsed and returns changes nothing.
+    std::map<endpoint, upstream_notice> notices_;
     /// When the store lost the exclusion of a domain.
     std::map<std::string, time_point, std::less<>> lost_exclusions_;
 };
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -192,6 +192,11 @@
     [[nodiscard]] time_point
     earliest_retry(const forward_context& context, time_point now) const;
 
+    /// \returns The replicas that could not be used for the parts that were
+    /// given up.
+    [[nodiscard]] unusable_replicas
+    count_unusable(const forward_context& context, time_point now) const;
+
     /// \returns Whether a replica may have run any part.
     [[nodiscard]] bool may_have_run() const noexcept { return may_have_run_; }
 
--- a/core/include/peridotward/core/placement/replica_health.hpp
+++ b/core/include/peridotward/core/placement/replica_health.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/base/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 
 namespace peridotward {
@@ -117,6 +118,25 @@
         return reconnect_at_;
     }
 
+    /// \brief Records that the replica wants no request until `until`; an
+    /// earlier request for a longer pause stays in force.
+    void pause_until(time_point until) noexcept
+    {
+        paused_until_ = std::max(paused_until_, until);
+    }
+
+    /// \returns Whether the replica wants no requests now.
+    [[nodiscard]] bool paused(time_point now) const noexcept
+    {
+        return now < paused_until_;
+    }
+
+    /// \returns When the replica takes requests again.
+    [[nodiscard]] time_point paused_until() const noexcept
+    {
+        return paused_until_;
+    }
+
     /// \returns Since when requests are in flight without any answer, or the
     /// default time point.
     [[nodiscard]] time_point silent_since() const noexcept
@@ -138,6 +158,7 @@
     std::uint32_t reported_requests_ = 0; ///< Running and waiting.
     std::uint32_t connect_failures_ = 0;
     time_point reconnect_at_;
+    time_point paused_until_;
     time_point silent_since_;
 };
 
--- a/core/include/peridotward/core/placement/replica_selector.hpp
+++ b/core/include/peridotward/core/placement/replica_selector.hpp
@@ -23,6 +23,14 @@
     bool sends = true; ///< Whether this instance is one of the senders.
 };
 
+/// \brief Replicas that get no request now, by the reason.
+struct unusable_replicas
+{
+    std::uint32_t excluded = 0;    ///< Draining, leaving, or domain excluded.
+    std::uint32_t paused = 0;      ///< Asked to get no requests for a while.
+    std::uint32_t unreachable = 0; ///< Connections fail.
+};
+
 /// \brief Selects the replica for one request.
 ///
 /// \remarks Selects the replica with the lowest expected latency, computed from
@@ -89,6 +97,10 @@
         const fleet_view& fleet,
         time_point now) const;
 
+    /// \returns The replicas of `service` that get no request now.
+    [[nodiscard]] unusable_replicas
+    count_unusable(const forward_service& service, time_point now) const;
+
     /// \param typical_latency Typical latency of this kind of request.
     /// \param queued_request_cost Mean cost of a queued request: the typical
     /// latency over all kinds of requests to the service, as a multiple of
--- a/core/src/admission/retry_schedule.cpp
+++ b/core/src/admission/retry_schedule.cpp
@@ -26,7 +26,7 @@
         1 / (retry_share * std::max(rate(now), min_rate))};
     const auto interval = std::chrono::duration_cast<duration>(exact_interval);
     const auto latest = now + max_wait;
-    const auto earliest = std::max(earliest_retry, now);
+    const auto earliest = std::clamp(earliest_retry, now, latest);
     auto& next = next_[priority];
     next = std::clamp(next, earliest, latest);
     const auto reserved = next;
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -10,11 +10,14 @@
     auto added = std::make_unique<replica>();
     added->number = static_cast<replica_number>(replicas_.size());
     added->cold_until = now + record.cold_start_remaining;
-    if (const auto left = left_.find(record.address); left != left_.end()) {
-        added->leaving =
-            left->second == upstream_start{record.id, record.start_id};
-        if (!added->leaving)
-            left_.erase(left);
+    if (const auto notice = notices_.find(record.address);
+        notice != notices_.end()) {
+        const auto& said = notice->second;
+        if (said.id == record.id && said.start_id == record.start_id) {
+            added->leaving = said.leaving;
+            added->health.pause_until(said.paused_until);
+        }
+        notices_.erase(notice);
     }
     by_id_[record.id] = added->number;
     by_service_[record.service].push_back(added->number);
@@ -25,9 +28,15 @@
 void upstream_catalog::remove(replica_number number)
 {
     const auto& removed = at(number).published;
-    if (at(number).leaving)
-        left_.insert_or_assign(
-            removed.address, upstream_start{removed.id, removed.start_id});
+    const auto paused_until = at(number).health.paused_until();
+    if (at(number).leaving || paused_until != time_point{})
+        notices_.insert_or_assign(
+            removed.address,
+            upstream_notice{
+                removed.id,
+                removed.start_id,
+                at(number).leaving,
+                paused_until});
     auto& listed = by_service_[removed.service];
     std::erase(listed, number);
     const auto found = by_id_.find(removed.id);
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -79,6 +79,22 @@
     return retry_times.empty() ? now : retry_times.back();
 }
 
+unusable_replicas forwarded_request::count_unusable(
+    const forward_context& context, time_point now) const
+{
+    unusable_replicas total;
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        if (!parts_[part].given_up)
+            continue;
+        const auto counted =
+            context.selector->count_unusable(service(part), now);
+        total.excluded += counted.excluded;
+        total.paused += counted.paused;
+        total.unreachable += counted.unreachable;
+    }
+    return total;
+}
+
 void forwarded_request::finish(forward_end end, forward_actions& out)
 {
     ended_ = true;
--- a/core/src/placement/replica_selector.cpp
+++ b/core/src/placement/replica_selector.cpp
@@ -95,7 +95,8 @@
         const auto& candidate = catalog_->at(number);
         if (catalog_->availability(candidate) == replica_availability::excluded)
             continue;
-        auto retry_at_estimate = now + no_free_slot_wait;
+        auto retry_at_estimate =
+            std::max(now + no_free_slot_wait, candidate.health.paused_until());
         if (candidate.health.unreachable(now))
             retry_at_estimate =
                 std::max(retry_at_estimate, candidate.health.reconnect_at());
@@ -119,6 +120,22 @@
     return earliest == time_point::max() ? now + no_replica_wait : earliest;
 }
 
+unusable_replicas replica_selector::count_unusable(
+    const forward_service& service, time_point now) const
+{
+    unusable_replicas counted;
+    for (const auto number : catalog_->of_service(service.name)) {
+        const auto& candidate = catalog_->at(number);
+        if (catalog_->availability(candidate) == replica_availability::excluded)
+            ++counted.excluded;
+        else if (candidate.health.paused(now))
+            ++counted.paused;
+        else if (candidate.health.unreachable(now))
+            ++counted.unreachable;
+    }
+    return counted;
+}
+
 std::optional<replica_number> replica_selector::choose(
     const forward_service& service,
     std::span<const replica_number> avoid,
@@ -142,7 +159,8 @@
             continue;
         const auto& candidate = catalog_->at(number);
         const auto availability = catalog_->availability(candidate);
-        if (availability == replica_availability::excluded)
+        if (availability == replica_availability::excluded ||
+            candidate.health.paused(now))
             continue;
         double expected =
             cost(candidate, typical_latency, queued_request_cost, now);
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -383,3 +383,21 @@
             replica_availability::serving);
     }
 }
+
+TEST_CASE(
+    "discovery: a pause that an upstream asked for survives a lapse of its "
+    "publication",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(in_era(1, 80, "a"), start);
+    catalog.at(0).health.pause_until(start + seconds{60});
+    catalog.withdraw("a", start);
+    CHECK(catalog.expire(lapsed).size() == 1);
+    catalog.publish(in_era(1, 81, "a"), start + seconds{5});
+    CHECK(only_replica(catalog).health.paused(start + seconds{5}));
+    auto again = in_era(1, 82, "a");
+    again.start_id = 8;
+    catalog.publish(again, start + seconds{6});
+    CHECK_FALSE(only_replica(catalog).health.paused(start + seconds{6}));
+}
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -469,3 +469,35 @@
     CHECK(merge_records(bodies, 9) == high + high + middle + low);
     CHECK(merge_records({}, 5).empty());
 }
+
+TEST_CASE(
+    "forwarding: a search whose shard is paused is refused at once",
+    "[forwarding]")
+{
+    forward_fixture fixture{4, 2, idempotent(2)};
+    const auto until = start + seconds{2};
+    for (const auto number : fixture.catalog.of_service("s2"))
+        fixture.catalog.at(number).health.pause_until(until);
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    CHECK(fixture.out.sends.empty());
+    CHECK(fixture.out.end == forward_end::not_run);
+    CHECK(request.earliest_retry(fixture.context(), start) == until);
+    CHECK(request.count_unusable(fixture.context(), start).paused == 2);
+}
+
+TEST_CASE(
+    "forwarding: a partial answer lacks the shard that is paused",
+    "[forwarding]")
+{
+    forward_fixture fixture{4, 2, idempotent(2, 0.75)};
+    for (const auto number : fixture.catalog.of_service("s2"))
+        fixture.catalog.at(number).health.pause_until(start + seconds{2});
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    REQUIRE(fixture.out.sends.size() == 3);
+    for (std::uint32_t i = 0; i < 3; ++i)
+        fixture.result(
+            request, i, forward_outcome::answered, start + milliseconds{10});
+    CHECK(fixture.out.end == forward_end::partial);
+}
--- a/core/tests/replica_selector_test.cpp
+++ b/core/tests/replica_selector_test.cpp
@@ -132,3 +132,32 @@
     CHECK(chooses_local(typical_latency));
     CHECK_FALSE(chooses_local(long_latency));
 }
+
+TEST_CASE(
+    "replica selector: a replica that asked for a pause gets no request",
+    "[placement]")
+{
+    three_domains shard;
+    const auto until = start + seconds{3};
+    shard.replica_in("a").health.pause_until(until);
+    shard.replica_in("a").health.pause_until(start + seconds{1});
+    CHECK(shard.count_choices().count("a") == 0);
+    CHECK(
+        shard.selector.earliest_retry(shard.service, shard.fleet, start) ==
+        start + replica_selector::no_free_slot_wait);
+
+    for (const auto* domain : {"b", "c"})
+        shard.replica_in(domain).health.pause_until(until + seconds{1});
+    const auto choose = [&](time_point now) {
+        return shard.selector
+            .choose(shard.service, {}, typical_latency, shard.fleet, now)
+            .has_value();
+    };
+    CHECK_FALSE(choose(start));
+    CHECK_FALSE(choose(until - milliseconds{1}));
+    CHECK(choose(until));
+    CHECK(
+        shard.selector.earliest_retry(shard.service, shard.fleet, start) ==
+        until);
+    CHECK(shard.selector.count_unusable(shard.service, start).paused == 3);
+}
--- a/core/tests/retry_schedule_test.cpp
+++ b/core/tests/retry_schedule_test.cpp
@@ -80,3 +80,26 @@
     const auto later = start + seconds{10};
     CHECK(schedule.reserve(1, later, later) <= milliseconds{1});
 }
+
+TEST_CASE(
+    "retry schedule: callers refused during a pause return spread after it",
+    "[admission]")
+{
+    auto schedule = steady_schedule();
+    const auto pause_end = start + seconds{2};
+    std::vector<time_point> returns;
+    for (int i = 0; i < 60; ++i) {
+        const auto now = start + i * milliseconds{30};
+        returns.push_back(now + schedule.reserve(1, pause_end, now));
+    }
+    CHECK(*std::min_element(returns.begin(), returns.end()) >= pause_end);
+    for (const auto first : returns) {
+        const auto together =
+            std::count_if(returns.begin(), returns.end(), [&](auto time) {
+                return time >= first && time < first + milliseconds{100};
+            });
+        CHECK(
+            together <=
+            served_rate * retry_schedule::retry_share * 0.1 * 1.2 + 2);
+    }
+}
--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -30,8 +30,18 @@
     "domain_returned",
     "members_changed"};
 /// Events that change an instance's view of one replica.
-constexpr std::array<std::string_view, 3> replica_state_events{
-    "upstream_published", "upstream_leaving", "replica_ended"};
+constexpr std::array<std::string_view, 4> replica_state_events{
+    "upstream_published",
+    "upstream_leaving",
+    "upstream_paused",
+    "replica_ended"};
+
+/// Fields that count the replicas of the missing parts that got no attempt.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 3>
+    unusable_replica_fields{
+        {{"excluded", "draining, leaving or in a domain that is out"},
+         {"paused", "that had asked for a pause by Retry-After"},
+         {"unreachable", "that could not be connected to"}}};
 
 template<std::size_t Size>
 bool any_of(
@@ -265,6 +275,12 @@
                               std::string{end->field("parts")} + " parts in " +
                               std::string{end->field("took")};
     std::string why = summarize_failures(timeline);
+    for (const auto& [field, meaning] : unusable_replica_fields) {
+        const auto count = end->field(field);
+        if (!count.empty() && count != "0")
+            why += "; replicas " + std::string{meaning} + ": " +
+                   std::string{count};
+    }
     if (end->field("caller_left") == "1")
         why = "the caller disconnected; " + why;
     if (outcome == "complete" || outcome == "partial")
--- a/ctl/tests/log_timeline_test.cpp
+++ b/ctl/tests/log_timeline_test.cpp
@@ -145,3 +145,22 @@
         "refused before it was forwarded: no configuration yet");
     CHECK(log.request_lines("unknown").empty());
 }
+
+TEST_CASE(
+    "log timeline: a refusal names the replicas that could not be used",
+    "[explain]")
+{
+    log_timeline log;
+    log.add_log(line(
+        100,
+        0,
+        "a",
+        "event=request_end request=r1 outcome=not_run took=0.1ms parts=10 "
+        "in=0 excluded=1 paused=2 unreachable=0"));
+    CHECK(
+        log_timeline::summarize(log.request_lines("r1")) ==
+        "not_run, 0 of 10 parts in 0.1ms: no attempt failed; replicas "
+        "draining, "
+        "leaving or in a domain that is out: 1; replicas that had asked for a "
+        "pause by Retry-After: 2");
+}
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -69,6 +69,9 @@
     /// Called when a replica says in an answer that it is leaving.
     std::function<void(replica_number)> on_leaving;
 
+    /// Called when a replica that was not paused asks for a pause.
+    std::function<void(replica_number, milliseconds)> on_pause;
+
     [[nodiscard]] std::size_t connection_count() const;
 
     /// \returns The number of queued requests.
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -21,15 +21,18 @@
     gauge("log_lines_dropped_total", log_->dropped());
     std::uint64_t cold = 0;
     std::uint64_t leaving = 0;
+    std::uint64_t paused = 0;
     const auto live = forwarding_->catalog().live();
     for (const auto number : live) {
         const auto& replica = forwarding_->catalog().at(number);
         cold += replica.cold(loop_->now()) ? 1 : 0;
         leaving += replica.leaving ? 1 : 0;
+        paused += replica.health.paused(loop_->now()) ? 1 : 0;
     }
     gauge("replicas", live.size());
     gauge("replicas_cold", cold);
     gauge("replicas_leaving", leaving);
+    gauge("replicas_paused", paused);
     return text;
 }
 
@@ -55,6 +58,7 @@
                                                                   : "barred"},
              {"cold", replica.cold(now)},
              {"leaving", replica.leaving},
+             {"paused", replica.health.paused(now)},
              {"slowness", replica.health.slowness(now)},
              {"failure_share", replica.health.failure_share(now)},
              {"shed_share", replica.health.shed_share(now)},
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -359,6 +359,7 @@
                          now <= request_.times().full_value_until;
     if (routine && !owner_->log_->accepts_routine(now))
         return;
+    const auto unusable = request_.count_unusable(owner_->context(), now);
     owner_->log_->write(
         now,
         routine ? event_severity::routine : event_severity::notable,
@@ -367,6 +368,9 @@
          {"route", request_.route().name},
          {"outcome", name_of(end)},
          {"took", elapsed},
+         {"excluded", unusable.excluded},
+         {"paused", unusable.paused},
+         {"unreachable", unusable.unreachable},
          {"parts", request_.part_count()},
          {"in", request_.answered_parts()},
          {"attempts", request_.attempts()},
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -89,6 +89,18 @@
              {"service", published.service},
              {"source", "answer"}});
     };
+    pool_.on_pause = [this](replica_number number, milliseconds pause) {
+        const auto& published = catalog_.at(number).published;
+        stats_->count("upstream_pauses_total");
+        log_->write(
+            loop_->now(),
+            event_severity::notable,
+            "upstream_paused",
+            {{"replica", published.id},
+             {"service", published.service},
+             {"source", "answer"},
+             {"for", pause}});
+    };
 }
 
 forwarder::~forwarder() = default;
@@ -154,6 +166,7 @@
         {{"request", id.value_or("")},
          {"status", status},
          {"reason", reason},
+         {"retry_after", retry_after},
          {"config", config_ ? config_->version : 0}});
     if (id) {
         head += names_->request_id + ": ";
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -1,3 +1,4 @@
+#include <peridotward/gateway/retry_after.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
 
 #include <sys/epoll.h>
@@ -17,6 +18,7 @@
 constexpr std::size_t read_bytes = 16384;
 /// Another upstream has the address.
 constexpr std::uint32_t misdirected_request = 421;
+constexpr std::uint32_t service_unavailable = 503;
 
 std::optional<std::uint32_t> parse_number(std::string_view text)
 {
@@ -256,6 +258,8 @@
         answer_.fields.find(pool_->names().leaving).value_or("") == "1";
     if (leaving && pool_->catalog().mark_leaving(replica_) && pool_->on_leaving)
         pool_->on_leaving(replica_);
+    if (answer_.status == service_unavailable)
+        record_pause();
     usable_until_ = time_point::max();
     if (const auto text = answer_.fields.find("Keep-Alive")) {
         if (const auto idle = parse_idle_time(*text))
@@ -263,6 +267,20 @@
     }
 }
 
+void upstream_connection::record_pause()
+{
+    const auto text = answer_.fields.find("Retry-After");
+    const auto pause = text ? parse_retry_after(*text) : std::nullopt;
+    if (!pause || *pause <= milliseconds{})
+        return;
+    const auto now = pool_->loop().now();
+    auto& health = pool_->catalog().at(replica_).health;
+    const bool paused_before = health.paused(now);
+    health.pause_until(now + *pause);
+    if (!paused_before && pool_->on_pause)
+        pool_->on_pause(replica_, *pause);
+}
+
 forward_outcome upstream_connection::outcome_of_answer() const
 {
     if (answer_.status == misdirected_request)
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -22,8 +22,9 @@
 
 bool upstream_pool::wants_requests(replica_number number) const
 {
-    return catalog_->availability(catalog_->at(number)) !=
-           replica_availability::excluded;
+    const auto& replica = catalog_->at(number);
+    return catalog_->availability(replica) != replica_availability::excluded &&
+           !replica.health.paused(loop_->now());
 }
 
 bool upstream_pool::accepts_requests(replica_number number) const
--- a/gateway/tests/upstream_notice_test.cpp
+++ b/gateway/tests/upstream_notice_test.cpp
@@ -160,3 +160,44 @@
         CHECK(availability_of_first(replica) == replica_availability::serving);
     }
 }
+
+TEST_CASE(
+    "pool: an upstream that answers 503 with Retry-After gets no request until "
+    "then",
+    "[notice]")
+{
+    answering_replica replica;
+    std::vector<milliseconds> pauses;
+    replica.pool.on_pause = [&](auto, auto pause) { pauses.push_back(pause); };
+    replica.answer_head =
+        "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 2.5\r\n";
+    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+    for (std::uint32_t i = 0; i < 6; ++i)
+        REQUIRE(owner->send(replica, i));
+    replica.run();
+    CHECK(replica.requests <= 2);
+    CHECK(owner->ended.size() == 6);
+    CHECK(pauses == std::vector<milliseconds>{milliseconds{2500}});
+    CHECK_FALSE(replica.pool.wants_requests(0));
+    replica.clock.advance(milliseconds{2500});
+    replica.loop.refresh();
+    CHECK(replica.pool.wants_requests(0));
+}
+
+TEST_CASE("pool: only 503 with a valid Retry-After is a pause", "[notice]")
+{
+    for (const char* head :
+         {"HTTP/1.1 503 Busy\r\n",
+          "HTTP/1.1 503 Busy\r\nRetry-After: soon\r\n",
+          "HTTP/1.1 503 Busy\r\nRetry-After: 0\r\n",
+          "HTTP/1.1 200 OK\r\nRetry-After: 9\r\n"}) {
+        answering_replica replica;
+        replica.answer_head = head;
+        const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+        REQUIRE(owner->send(replica, 0));
+        replica.run();
+        INFO(head);
+        CHECK(replica.requests == 1);
+        CHECK(replica.pool.wants_requests(0));
+    }
+}
