soak: a store that returns from a copy, upstreams that leave or pause by answer

The soak knew no era, and no notices of upstreams. Its store is now the store_state of the unit tests behind a listener: it goes away (forgetting watches), comes back from a copy, up to three times in a row, and what it lost is written again in any order while the operator goes on writing. Replicas say Server-Leaving in their answers before or without the store's word and serve on beyond the bound; they turn everything away with Retry-After, one of them or a whole shard. Four series of faults overlap. soak_run.cpp is divided into the environment and its faults; a replica with a fault is reserved, and its fields are read on the stand-ins' thread only.

New checks, from what callers and replicas see: no request that a caller sent later than 3 s after an instance had passed on an answer with Server-Leaving reaches that start of the replica from that instance; at most two requests between 0.5 s after a 503 with Retry-After and the end of its time; no 404 on a published path that the same process has served before. Bounds of time are stricter: an instance is excused while a fault lasts and for 4 s after, not for all that was published before the fault.

--- /dev/null
+++ b/soak/faults.cpp
@@ -0,0 +1,341 @@
+#include "soak_environment.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace peridotward::soak {
+
+namespace {
+
+constexpr int max_stop_ms = 6500;
+
+} // namespace
+
+void soak_environment::impair_link(
+    random_source& random, proxy& link, int instance)
+{
+    const auto from = steady::now();
+    link_fault fault;
+    switch (random.below(4)) {
+    case 0:
+        fault.delay = milliseconds{50 + random.below(300)};
+        break;
+    case 1:
+        fault.cut_forward = true;
+        break;
+    case 2:
+        fault.cut_back = true;
+        break;
+    default:
+        fault.cut_forward = true;
+        fault.cut_back = true;
+        break;
+    }
+    run_on_standin_thread([&] {
+        if (random.below(2) == 0)
+            link.reset();
+        link.set_fault(fault);
+    });
+    sleep_random(random, milliseconds{500}, 1500);
+    run_on_standin_thread([&] {
+        link.set_fault({});
+        link.reset();
+    });
+    if (instance >= 0)
+        record_disturbance_since(instance, from);
+}
+
+void soak_environment::impair_replica(random_source& random)
+{
+    const auto replica = reserve_replica(random);
+    if (random.below(2) == 0)
+        impair_link(random, *replica_links_[replica->link], no_instance);
+    else {
+        run_on_standin_thread([&] {
+            replica->shed_share = random.unit() * 0.6;
+            replica->break_share = random.unit() * 0.4;
+            replica->hang_share = random.unit() * 0.2;
+        });
+        sleep_random(random, milliseconds{500}, 1500);
+        run_on_standin_thread([&] {
+            replica->shed_share = 0;
+            replica->break_share = base_break_share;
+            replica->hang_share = 0;
+        });
+    }
+    release_replica(replica);
+}
+
+void soak_environment::pause_instance(random_source& random)
+{
+    const int instance = random_instance(random);
+    const auto from = steady::now();
+    fleet_->signal(instance, SIGSTOP);
+    sleep_random(random, milliseconds{300}, 2500);
+    fleet_->signal(instance, SIGCONT);
+    record_disturbance_since(instance, from, disturbance_kind::paused);
+}
+
+void soak_environment::kill_instance(random_source& random)
+{
+    const int instance = random_instance(random);
+    const auto from = steady::now();
+    fleet_->signal(instance, SIGKILL);
+    fleet_->wait_for_exit(instance, max_stop_ms);
+    sleep_random(random, milliseconds{100}, 800);
+    fleet_->start(instance);
+    sleep_random(random, milliseconds{300}, 300);
+    record_disturbance_since(instance, from, disturbance_kind::restarted);
+}
+
+void soak_environment::stop_instance(random_source& random)
+{
+    const int instance = random_instance(random);
+    const auto from = steady::now();
+    fleet_->signal(instance, SIGTERM);
+    if (random.below(3) == 0)
+        fleet_->signal(instance, SIGTERM);
+    if (!fleet_->wait_for_exit(instance, max_stop_ms)) {
+        attempt_record overdue;
+        overdue.id = "overdue";
+        overdue.path = "/read/";
+        overdue.instance = instance;
+        overdue.sent = overdue.ended = from;
+        overdue.status = 200;
+        checker_.record_attempt(std::move(overdue));
+    }
+    record_disturbance_since(instance, from, disturbance_kind::planned_stop);
+    fleet_->start(instance);
+    const auto started = steady::now();
+    sleep_random(random, milliseconds{300}, 300);
+    record_disturbance_since(instance, started, disturbance_kind::restarted);
+}
+
+void soak_environment::evacuate(random_source& random)
+{
+    const auto domain =
+        "d" + std::to_string(random.below(replicas_per_service));
+    run_on_standin_thread([&] { store_.put("op/evacuate/" + domain, "{}"); });
+    checker_.record_evacuation(domain, true);
+    sleep_random(random, milliseconds{1000}, 6500);
+    checker_.record_evacuation(domain, false);
+    run_on_standin_thread([&] { store_.remove("op/evacuate/" + domain); });
+}
+
+void soak_environment::replace_replica(random_source& random)
+{
+    const auto replica = reserve_replica(random);
+    const std::string old_id = replica->id;
+    run_on_standin_thread([&] { replicas_.publish(*replica, true); });
+    checker_.record_drain(old_id);
+    sleep_random(random, milliseconds{1000}, 3500);
+    run_on_standin_thread([&] {
+        store_.remove("servers/" + old_id);
+        // Another replica starts at the same address.
+        replica->id = old_id + "n";
+        ++replica->start_id;
+        replicas_.publish(*replica);
+    });
+    release_replica(replica);
+}
+
+void soak_environment::change_config(random_source& random)
+{
+    std::string path;
+    run_on_standin_thread([&] {
+        path = "/v" + std::to_string(config_version_) + "/";
+        added_paths_.push_back(path);
+        if (random.below(3) == 0)
+            store_.compact();
+        publish_config();
+    });
+    checker_.record_publication(path);
+    callers_->add_path(path);
+}
+
+void soak_environment::store_outage(random_source& random)
+{
+    const auto from = steady::now();
+    run_on_standin_thread([&] { store_.set_down(true); });
+    sleep_random(random, milliseconds{500}, 2500);
+    run_on_standin_thread([&] { store_.set_down(false); });
+    record_disturbance_since(all_instances, from);
+}
+
+void soak_environment::return_store(random_source& random)
+{
+    // Several returns in series overlap with what is written again.
+    for (auto returns = 1 + random.below(3); returns > 0; --returns) {
+        run_on_standin_thread([&] { store_.take_copy(); });
+        sleep_random(random, milliseconds{100}, 2000);
+        if (random.below(2) == 0)
+            change_config(random);
+        sleep_random(random, milliseconds{0}, 600);
+        const auto from = steady::now();
+        run_on_standin_thread([&] { store_.set_away(true); });
+        sleep_random(random, milliseconds{20}, 800);
+        std::vector<testing::lost_write> lost;
+        run_on_standin_thread([&] {
+            lost = store_.restore_copy();
+            store_.set_away(false);
+        });
+        // The operator goes on writing before the lost changes are back.
+        if (random.below(2) == 0)
+            change_config(random);
+        std::shuffle(lost.begin(), lost.end(), std::mt19937_64{random.next()});
+        for (const auto& write : lost) {
+            if (random.below(2) == 0)
+                sleep_random(random, milliseconds{0}, 300);
+            run_on_standin_thread([&] { store_.write_again(write); });
+        }
+        record_disturbance_since(all_instances, from);
+    }
+}
+
+std::shared_ptr<replica_standin>
+soak_environment::reserve_replica(random_source& random)
+{
+    std::shared_ptr<replica_standin> reserved;
+    run_on_standin_thread([&] {
+        auto& all = replicas_.all();
+        do
+            reserved = all[random.below(all.size())];
+        while (reserved->has_fault);
+        reserved->has_fault = true;
+    });
+    return reserved;
+}
+
+void soak_environment::release_replica(
+    const std::shared_ptr<replica_standin>& replica)
+{
+    run_on_standin_thread([&] { replica->has_fault = false; });
+}
+
+void soak_environment::leave_by_answer(random_source& random)
+{
+    const auto replica = reserve_replica(random);
+    const std::string old_id = replica->id;
+    run_on_standin_thread([&] { replica->leaving = true; });
+    // Serves on beyond the bound, so that requests sent too late are seen.
+    sleep_random(random, invariant_checker::drain_bound, 2500);
+    if (random.below(2) == 0)
+        run_on_standin_thread([&] { replicas_.publish(*replica, true); });
+    sleep_random(random, milliseconds{300}, 500);
+    run_on_standin_thread([&] {
+        // Another start has the address; sometimes with the same id.
+        if (random.below(2) == 0) {
+            store_.remove("servers/" + old_id);
+            replica->id += "l";
+        }
+        replica->leaving = false;
+        ++replica->start_id;
+        replicas_.publish(*replica);
+    });
+    release_replica(replica);
+}
+
+void soak_environment::pause_replicas(random_source& random)
+{
+    // One replica, or all of a shard.
+    std::vector<std::shared_ptr<replica_standin>> paused{
+        reserve_replica(random)};
+    const auto length = milliseconds{1200 + random.below(2500)};
+    const bool whole_shard = random.below(3) == 0;
+    run_on_standin_thread([&] {
+        for (const auto& other : replicas_.all()) {
+            if (whole_shard && !other->has_fault &&
+                other->service == paused.front()->service) {
+                other->has_fault = true;
+                paused.push_back(other);
+            }
+        }
+        for (const auto& replica : paused)
+            replica->pause = length;
+    });
+    sleep_random(random, milliseconds{300}, 1200);
+    run_on_standin_thread([&] {
+        for (const auto& replica : paused)
+            replica->pause = {};
+    });
+    // Other faults would excuse requests that are sent too early.
+    std::this_thread::sleep_for(length);
+    for (const auto& replica : paused)
+        release_replica(replica);
+}
+
+void soak_environment::inject_fault(
+    const std::vector<fault_kind>& kinds, random_source& random)
+{
+    const auto& chosen = kinds[random.below(kinds.size())];
+    {
+        const std::lock_guard lock{faults_mutex_};
+        injected_faults_ += injected_faults_.empty()
+                                ? chosen.name
+                                : std::string{", "} + chosen.name;
+    }
+    chosen.action(random);
+}
+
+std::vector<fault_kind> soak_environment::process_faults()
+{
+    return {
+        {"pause", [&](auto& random) { pause_instance(random); }},
+        {"kill", [&](auto& random) { kill_instance(random); }},
+        {"stop", [&](auto& random) { stop_instance(random); }},
+        {"reload",
+         [&](auto& random) {
+             fleet_->signal(random_instance(random), SIGHUP);
+         }},
+    };
+}
+
+std::vector<fault_kind> soak_environment::environment_faults()
+{
+    return {
+        {"store link",
+         [&](auto& random) {
+             const int instance = random_instance(random);
+             impair_link(
+                 random,
+                 *store_links_[static_cast<std::size_t>(instance)],
+                 instance);
+         }},
+        {"replica", [&](auto& random) { impair_replica(random); }},
+        {"evacuate", [&](auto& random) { evacuate(random); }},
+        {"replace", [&](auto& random) { replace_replica(random); }},
+        {"config", [&](auto& random) { change_config(random); }},
+    };
+}
+
+std::vector<fault_kind> soak_environment::store_faults()
+{
+    return {
+        {"store outage", [&](auto& random) { store_outage(random); }},
+        {"store return", [&](auto& random) { return_store(random); }},
+        {"store return", [&](auto& random) { return_store(random); }},
+    };
+}
+
+std::vector<fault_kind> soak_environment::notice_faults()
+{
+    return {
+        {"leaving", [&](auto& random) { leave_by_answer(random); }},
+        {"upstream pause", [&](auto& random) { pause_replicas(random); }},
+    };
+}
+
+void soak_environment::inject_faults(
+    steady::time_point until,
+    const std::vector<fault_kind>& kinds,
+    std::uint64_t seed)
+{
+    random_source random{seed};
+    while (steady::now() < until) {
+        inject_fault(kinds, random);
+        sleep_random(random, milliseconds{50}, 500);
+    }
+}
+
+} // namespace peridotward::soak
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -3,7 +3,6 @@
 #include <peridotward/base/hash.hpp>
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace peridotward::soak {
 
@@ -21,6 +20,13 @@
     return entries;
 }
 
+std::string milliseconds_text(steady::duration time)
+{
+    return std::to_string(
+               std::chrono::duration_cast<milliseconds>(time).count()) +
+           " ms";
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -49,6 +55,18 @@
     executions_.push_back(std::move(record));
 }
 
+void invariant_checker::record_arrival(arrival_record record)
+{
+    const std::lock_guard lock{mutex_};
+    arrivals_.push_back(std::move(record));
+}
+
+void invariant_checker::record_notice(notice_record record)
+{
+    const std::lock_guard lock{mutex_};
+    notices_.push_back(std::move(record));
+}
+
 void invariant_checker::record_disturbance(disturbance span)
 {
     const std::lock_guard lock{mutex_};
@@ -118,6 +136,37 @@
         });
 }
 
+bool invariant_checker::is_interrupted(
+    int instance, steady::time_point from, steady::time_point to) const
+{
+    return std::any_of(
+        disturbances_.begin(), disturbances_.end(), [&](const auto& span) {
+            return span.instance == instance &&
+                   span.kind != disturbance_kind::connections &&
+                   span.from <= to && from <= span.until;
+        });
+}
+
+bool invariant_checker::is_restarted(
+    int instance, steady::time_point from, steady::time_point to) const
+{
+    return std::any_of(
+        disturbances_.begin(), disturbances_.end(), [&](const auto& span) {
+            return span.instance == instance &&
+                   (span.kind == disturbance_kind::restarted ||
+                    span.kind == disturbance_kind::planned_stop) &&
+                   span.from <= to && from <= span.until;
+        });
+}
+
+invariant_checker::attempts_by_id invariant_checker::attempts_with_ids() const
+{
+    attempts_by_id by_id;
+    for (const auto& record : attempts_)
+        by_id[record.id] = &record;
+    return by_id;
+}
+
 std::vector<std::string> invariant_checker::find_violations() const
 {
     const std::lock_guard lock{mutex_};
@@ -127,7 +176,10 @@
     check_destinations(violations);
     check_planned_stops(violations);
     check_configuration(violations);
+    check_downgrades(violations);
     check_extra_attempts(violations);
+    check_leaving(violations);
+    check_pauses(violations);
     return violations;
 }
 
@@ -198,9 +250,7 @@
 void invariant_checker::check_destinations(
     std::vector<std::string>& violations) const
 {
-    std::unordered_map<std::string, const attempt_record*> by_id;
-    for (const auto& record : attempts_)
-        by_id[record.id] = &record;
+    const auto by_id = attempts_with_ids();
     for (const auto& execution : executions_) {
         const auto found = by_id.find(execution.id);
         if (found == by_id.end()) {
@@ -211,13 +261,13 @@
         if (const auto drained = drain_times_.find(execution.replica);
             drained != drain_times_.end() &&
             execution.at > drained->second + drain_bound &&
-            !is_disturbed(instance, drained->second, execution.at))
+            !is_disturbed(instance, execution.at, execution.at))
             violations.push_back("sent to a leaving replica: " + execution.id);
         for (const auto& [domain, span] : evacuations_) {
             if (execution.domain == domain &&
                 execution.at > span.first + evacuation_bound &&
                 execution.at < span.second &&
-                !is_disturbed(instance, span.first, execution.at))
+                !is_disturbed(instance, execution.at, execution.at))
                 violations.push_back(
                     "sent to an evacuated domain: " + execution.id);
         }
@@ -228,7 +278,7 @@
     std::vector<std::string>& violations) const
 {
     for (const auto& span : disturbances_) {
-        if (!span.planned_stop)
+        if (span.kind != disturbance_kind::planned_stop)
             continue;
         for (const auto& record : attempts_) {
             const bool sent_during_stop =
@@ -240,7 +290,7 @@
                 disturbances_.begin(),
                 disturbances_.end(),
                 [&](const auto& other) {
-                    return !other.planned_stop &&
+                    return other.kind != disturbance_kind::planned_stop &&
                            (other.instance == record.instance ||
                             other.instance < 0) &&
                            other.from <= record.ended &&
@@ -260,8 +310,102 @@
         if (found == publication_times_.end() || record.status != 404)
             continue;
         if (record.sent > found->second + config_bound &&
-            !is_disturbed(record.instance, found->second, record.sent))
-            violations.push_back("configuration not in force: " + record.id);
+            !is_disturbed(record.instance, record.sent, record.sent))
+            violations.push_back(
+                "configuration not in force: " + record.id + ", " +
+                record.path + " at instance " +
+                std::to_string(record.instance) + ", " +
+                milliseconds_text(record.sent - found->second) +
+                " after its publication");
+    }
+}
+
+void invariant_checker::check_downgrades(
+    std::vector<std::string>& violations) const
+{
+    std::map<std::pair<int, std::string>, steady::time_point> served;
+    for (const auto& record : attempts_) {
+        if (!publication_times_.contains(record.path))
+            continue;
+        const std::pair key{record.instance, record.path};
+        if (record.status == 200)
+            served.try_emplace(key, record.ended);
+        else if (const auto before = served.find(key);
+                 record.status == 404 && before != served.end() &&
+                 before->second < record.sent) {
+            if (is_restarted(record.instance, before->second, record.ended))
+                served.erase(before);
+            else
+                violations.push_back(
+                    "configuration came back older: " + record.id);
+        }
+    }
+}
+
+void invariant_checker::check_leaving(
+    std::vector<std::string>& violations) const
+{
+    const auto by_id = attempts_with_ids();
+    // By instance and replica: when the instance had passed on an answer in
+    // which the replica said that it is leaving.
+    std::map<std::pair<int, std::string>, steady::time_point> passed_on;
+    for (const auto& notice : notices_) {
+        const auto found = by_id.find(notice.id);
+        if (notice.pause > milliseconds{} || found == by_id.end())
+            continue;
+        const auto& attempt = *found->second;
+        const bool is_part =
+            !attempt.path.starts_with("/search/") ||
+            attempt.part_stamps.find(notice.id + "." + notice.service) !=
+                std::string::npos;
+        if (attempt.status != 200 || !is_part)
+            continue;
+        const auto [first, added] = passed_on.try_emplace(
+            {attempt.instance, notice.replica_start}, attempt.ended);
+        if (!added)
+            first->second = std::min(first->second, attempt.ended);
+    }
+    for (const auto& arrival : arrivals_) {
+        const auto found = by_id.find(arrival.id);
+        if (found == by_id.end())
+            continue;
+        const auto& attempt = *found->second;
+        const auto passed =
+            passed_on.find({attempt.instance, arrival.replica_start});
+        if (passed != passed_on.end() &&
+            attempt.sent > passed->second + drain_bound &&
+            !is_interrupted(attempt.instance, passed->second, arrival.at))
+            violations.push_back(
+                "sent to a replica that said it leaves: " + arrival.id);
+    }
+}
+
+void invariant_checker::check_pauses(std::vector<std::string>& violations) const
+{
+    const auto by_id = attempts_with_ids();
+    std::map<std::pair<int, std::string>, std::vector<steady::time_point>>
+        arrivals;
+    for (const auto& arrival : arrivals_) {
+        if (const auto found = by_id.find(arrival.id); found != by_id.end())
+            arrivals[{found->second->instance, arrival.replica_start}]
+                .push_back(arrival.at);
+    }
+    for (const auto& notice : notices_) {
+        const auto found = by_id.find(notice.id);
+        if (notice.pause == milliseconds{} || found == by_id.end())
+            continue;
+        const int instance = found->second->instance;
+        const auto end = notice.at + notice.pause;
+        const auto& times = arrivals[{instance, notice.replica_start}];
+        const auto count = static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(), [&](auto at) {
+                return at > notice.at + pause_bound && at < end;
+            }));
+        if (count > max_requests_in_pause &&
+            !is_interrupted(instance, notice.at, end))
+            violations.push_back(
+                std::to_string(count) + " requests to the paused replica " +
+                notice.replica_start);
     }
 }
 
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace peridotward::soak {
@@ -38,13 +39,44 @@
     steady::time_point at;
 };
 
+/// One request that reached a replica, run or refused.
+struct arrival_record
+{
+    std::string id;
+    std::string replica_start; ///< Replica and start.
+    steady::time_point at;
+};
+
+/// What a replica said of itself in an answer.
+struct notice_record
+{
+    std::string id; ///< Of the answered request.
+    std::string service;
+    std::string replica_start; ///< Replica and start.
+    steady::time_point at;
+    /// For so long the replica wants no requests; zero if it is leaving.
+    milliseconds pause{};
+};
+
+enum class disturbance_kind : std::uint8_t
+{
+    connections, ///< To the store or to replicas, or the store itself.
+    paused,      ///< The process was stopped for a while.
+    restarted,   ///< The process was killed or is starting.
+    planned_stop ///< Still must not break off any request.
+};
+
+/// In place of the number of an instance.
+inline constexpr int all_instances = -1;
+inline constexpr int no_instance = -2;
+
 /// A time span in which an instance is exempt from time bounds.
 struct disturbance
 {
-    int instance = 0; ///< -1 for all instances.
+    int instance = 0; ///< Or `all_instances`.
     steady::time_point from;
     steady::time_point until;
-    bool planned_stop = false; ///< Still must not break off any request.
+    disturbance_kind kind = disturbance_kind::connections;
 };
 
 /// Records what callers and replicas observe during a soak run, and checks the
@@ -59,6 +91,10 @@
     static constexpr milliseconds evacuation_bound{5000};
     static constexpr milliseconds drain_bound{3000};
     static constexpr milliseconds config_bound{3000};
+    /// Time after a replica's request for a pause from which at most
+    /// `max_requests_in_pause` may still arrive.
+    static constexpr milliseconds pause_bound{500};
+    static constexpr std::size_t max_requests_in_pause = 2;
     /// Added to the end of a disturbance: an instance needs this long to
     /// regain contact with the others.
     static constexpr milliseconds recovery_allowance{4000};
@@ -70,6 +106,8 @@
 
     void record_attempt(attempt_record record);
     void record_execution(execution_record record);
+    void record_arrival(arrival_record record);
+    void record_notice(notice_record record);
     void record_disturbance(disturbance span);
     /// Records that the evacuation of `domain` begins or ends now.
     void record_evacuation(const std::string& domain, bool begins);
@@ -94,8 +132,17 @@
     records_of(const std::string& id, const std::string& service);
 
 private:
+    using attempts_by_id =
+        std::unordered_map<std::string, const attempt_record*>;
+
     [[nodiscard]] bool is_disturbed(
         int instance, steady::time_point from, steady::time_point to) const;
+    /// \returns Whether the process of `instance` was paused or restarted.
+    [[nodiscard]] bool is_interrupted(
+        int instance, steady::time_point from, steady::time_point to) const;
+    [[nodiscard]] bool is_restarted(
+        int instance, steady::time_point from, steady::time_point to) const;
+    [[nodiscard]] attempts_by_id attempts_with_ids() const;
     void check_answers(std::vector<std::string>& violations) const;
     void check_search(
         const attempt_record& record,
@@ -104,11 +151,16 @@
     void check_destinations(std::vector<std::string>& violations) const;
     void check_planned_stops(std::vector<std::string>& violations) const;
     void check_configuration(std::vector<std::string>& violations) const;
+    void check_downgrades(std::vector<std::string>& violations) const;
     void check_extra_attempts(std::vector<std::string>& violations) const;
+    void check_leaving(std::vector<std::string>& violations) const;
+    void check_pauses(std::vector<std::string>& violations) const;
 
     mutable std::mutex mutex_;
     std::vector<attempt_record> attempts_;
     std::vector<execution_record> executions_;
+    std::vector<arrival_record> arrivals_;
+    std::vector<notice_record> notices_;
     std::vector<disturbance> disturbances_;
     std::vector<std::pair<
         std::string,
--- /dev/null
+++ b/soak/soak_environment.cpp
@@ -0,0 +1,172 @@
+#include "soak_environment.hpp"
+
+#include <peridotward/base/json.hpp>
+
+#include <filesystem>
+
+namespace peridotward::soak {
+
+using namespace testing;
+
+namespace {
+
+constexpr std::uint16_t store_port = 9000;
+constexpr std::uint16_t first_replica_port = 10000;
+constexpr std::uint16_t first_proxy_port = 11000;
+constexpr milliseconds startup_time{3000};
+constexpr milliseconds settle_time{4500};
+constexpr milliseconds checked_time{2000};
+/// Min. share of requests with status 200 after the faults of a run ended.
+constexpr double min_served_share = 0.9;
+
+} // namespace
+
+soak_environment::soak_environment(
+    const soak_options& options, std::uint64_t seed)
+    : options_{&options},
+      addresses_{seed},
+      config_random_{seed},
+      store_{context_, addresses_.replica_host(), store_port},
+      replicas_{context_, checker_, store_, seed}
+{
+    for (int i = 0; i < options.instances; ++i)
+        store_links_.push_back(std::make_unique<proxy>(
+            context_,
+            addresses_.replica_host(),
+            static_cast<std::uint16_t>(fleet::first_store_port + i),
+            store_port));
+    for (std::uint32_t s = 0; s < invariant_checker::shards; ++s)
+        add_service("s" + std::to_string(s));
+    add_service("desk");
+    publish_config();
+    thread_ = std::thread{[this] { context_.run(); }};
+}
+
+void soak_environment::add_service(const std::string& name)
+{
+    for (int copy = 0; copy < replicas_per_service; ++copy) {
+        const auto number = static_cast<std::uint16_t>(replica_links_.size());
+        replica_standin replica;
+        replica.id = name + "-" + std::to_string(copy);
+        replica.service = name;
+        replica.domain = "d" + std::to_string(copy);
+        replica.host = addresses_.replica_host();
+        replica.port = static_cast<std::uint16_t>(first_replica_port + number);
+        replica.published_port =
+            static_cast<std::uint16_t>(first_proxy_port + number);
+        replica_links_.push_back(std::make_unique<proxy>(
+            context_, replica.host, replica.published_port, replica.port));
+        replicas_.add(std::move(replica));
+    }
+}
+
+void soak_environment::publish_config()
+{
+    auto shards = json::array();
+    auto services = json::array();
+    const auto service = [](const std::string& name) {
+        return json{
+            {"name", name},
+            {"healthPath", "/healthz"},
+            {"maxConnections", 60},
+            {"warmupS", 0.0},
+            {"warmupPerS", 0.0}};
+    };
+    for (std::uint32_t s = 0; s < invariant_checker::shards; ++s) {
+        shards.push_back("s" + std::to_string(s));
+        services.push_back(service("s" + std::to_string(s)));
+    }
+    services.push_back(service("desk"));
+    const auto route = [](const std::string& prefix, const char* kind) {
+        return json{
+            {"name", prefix},
+            {"host", "soak.example"},
+            {"prefix", prefix},
+            {"kind", kind},
+            {"timeoutMs", 800},
+            {"targetLatencyMs", 100},
+            {"priority", 1},
+            {"maxAttempts", 2}};
+    };
+    auto search = route("/search/", "safe");
+    search["gather"] = shards;
+    search["topK"] = invariant_checker::top_records;
+    search["minShardShare"] = 0.75;
+    auto routes = json::array({search});
+    auto once = route("/once/", "unsafe");
+    once["service"] = "desk";
+    routes.push_back(once);
+    auto paths = added_paths_;
+    paths.push_back("/read/");
+    for (const auto& path : paths) {
+        auto read = route(path, "safe");
+        read["service"] = "desk";
+        routes.push_back(read);
+    }
+    config_version_ += 1 + config_random_.below(4);
+    store_.put(
+        "op/config",
+        json{
+            {"version", config_version_},
+            {"routes", routes},
+            {"services", services}}
+            .dump());
+}
+
+soak_result soak_environment::run(std::uint64_t seed)
+{
+    const auto folder = options_->folder + "/" + std::to_string(seed);
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    fleet gateways{options_->program, folder, addresses_, options_->instances};
+    fleet_ = &gateways;
+    checker_.record_disturbance(
+        {all_instances, steady::now(), steady::now() + startup_time});
+    std::this_thread::sleep_for(startup_time);
+    callers caller_threads{checker_, gateways, options_->callers, seed * 1000};
+    callers_ = &caller_threads;
+    const auto until = steady::now() + std::chrono::seconds{options_->seconds};
+    // The series of faults run at the same time.
+    std::vector<std::thread> series;
+    std::uint64_t series_seed = seed;
+    for (auto kinds : {environment_faults(), store_faults(), notice_faults()})
+        series.emplace_back([&, kinds, fault_seed = series_seed += 7] {
+            inject_faults(until, kinds, fault_seed);
+        });
+    inject_faults(until, process_faults(), seed);
+    for (auto& thread : series)
+        thread.join();
+    std::this_thread::sleep_for(settle_time);
+    const auto settled = steady::now();
+    std::this_thread::sleep_for(checked_time);
+    caller_threads.stop();
+    soak_result result;
+    result.seed = seed;
+    result.attempts = checker_.attempts();
+    result.extra_attempts = checker_.extra_attempts();
+    result.faults = injected_faults_;
+    result.violations = checker_.find_violations();
+    const auto [served, attempted] = checker_.count_served_since(settled);
+    if (static_cast<double>(served) <
+        min_served_share * static_cast<double>(attempted))
+        result.violations.push_back(
+            "not recovered: " + std::to_string(served) + " of " +
+            std::to_string(attempted) + " served after the last fault");
+    return result;
+}
+
+soak_result run_seed(const soak_options& options, std::uint64_t seed)
+{
+    try {
+        soak_environment environment{options, seed};
+        return environment.run(seed);
+    }
+    catch (const std::exception& failure) {
+        soak_result result;
+        result.seed = seed;
+        result.violations.push_back(std::string{"not run: "} + failure.what());
+        return result;
+    }
+}
+
+} // namespace peridotward::soak
--- /dev/null
+++ b/soak/soak_environment.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "callers.hpp"
+#include "fleet.hpp"
+#include "invariant_checker.hpp"
+#include "proxy.hpp"
+#include "replicas.hpp"
+#include "soak_run.hpp"
+#include "store.hpp"
+
+#include <peridotward/base/random.hpp>
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace peridotward::soak {
+
+struct fault_kind
+{
+    const char* name;
+    std::function<void(random_source&)> action;
+};
+
+/// The environment of the gateways of one run: store, replicas, proxies in
+/// front of both, and callers.
+class soak_environment
+{
+public:
+    static constexpr int replicas_per_service = 3;
+
+    soak_environment(const soak_options& options, std::uint64_t seed);
+    ~soak_environment()
+    {
+        context_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+    soak_environment(const soak_environment&) = delete;
+    soak_environment& operator=(const soak_environment&) = delete;
+
+    soak_result run(std::uint64_t seed);
+
+private:
+    void add_service(const std::string& name);
+    void publish_config();
+
+    /// Runs `action` on the stand-ins' thread and waits until it returns.
+    void run_on_standin_thread(const std::function<void()>& action)
+    {
+        std::promise<void> done;
+        testing::net::post(context_, [&] {
+            action();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    /// Sleeps for `min_time` plus a random time below `spread` milliseconds.
+    static void sleep_random(
+        random_source& random, milliseconds min_time, std::uint64_t spread)
+    {
+        std::this_thread::sleep_for(
+            min_time + milliseconds{random.below(spread)});
+    }
+
+    [[nodiscard]] int random_instance(random_source& random) const
+    {
+        return static_cast<int>(
+            random.below(static_cast<std::uint64_t>(options_->instances)));
+    }
+
+    void record_disturbance_since(
+        int instance,
+        steady::time_point from,
+        disturbance_kind kind = disturbance_kind::connections)
+    {
+        checker_.record_disturbance({instance, from, steady::now(), kind});
+    }
+
+    /// Reserves a random replica without a fault for a fault of the caller.
+    [[nodiscard]] std::shared_ptr<replica_standin>
+    reserve_replica(random_source& random);
+    void release_replica(const std::shared_ptr<replica_standin>& replica);
+
+    [[nodiscard]] std::vector<fault_kind> process_faults();
+    [[nodiscard]] std::vector<fault_kind> environment_faults();
+    [[nodiscard]] std::vector<fault_kind> store_faults();
+    [[nodiscard]] std::vector<fault_kind> notice_faults();
+    void
+    inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
+    void inject_faults(
+        steady::time_point until,
+        const std::vector<fault_kind>& kinds,
+        std::uint64_t seed);
+    void impair_link(random_source& random, proxy& link, int instance);
+    void impair_replica(random_source& random);
+    void pause_instance(random_source& random);
+    void kill_instance(random_source& random);
+    void stop_instance(random_source& random);
+    void evacuate(random_source& random);
+    void replace_replica(random_source& random);
+    void change_config(random_source& random);
+    void store_outage(random_source& random);
+    void return_store(random_source& random);
+    void leave_by_answer(random_source& random);
+    void pause_replicas(random_source& random);
+
+    const soak_options* options_;
+    run_addresses addresses_;
+    random_source config_random_;
+    std::mutex faults_mutex_; ///< Guards `injected_faults_`.
+    testing::net::io_context context_;
+    invariant_checker checker_;
+    store store_;
+    replicas replicas_;
+    std::vector<std::unique_ptr<proxy>> store_links_;
+    std::vector<std::unique_ptr<proxy>> replica_links_;
+    std::thread thread_;
+    fleet* fleet_ = nullptr;
+    callers* callers_ = nullptr;
+    std::vector<std::string> added_paths_;
+    std::uint64_t config_version_ = 0;
+    std::string injected_faults_;
+};
+
+} // namespace peridotward::soak
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -74,9 +74,26 @@
         answer(make_not_executed(421), {});
         return;
     }
-    if (random_.unit() < replica->shed_share ||
+    checker_->record_arrival({id, replica->start_name(), steady::now()});
+    const bool turned_away = replica->pause > milliseconds{};
+    if (turned_away || random_.unit() < replica->shed_share ||
         replica->running >= slots + queue_size) {
-        answer(make_not_executed(503), {});
+        auto refusal = make_not_executed(503);
+        if (turned_away) {
+            refusal.set(
+                "Retry-After",
+                std::to_string(
+                    std::chrono::duration<double>{replica->pause}.count()));
+            checker_->record_notice(
+                {id,
+                 replica->service,
+                 replica->start_name(),
+                 steady::now(),
+                 replica->pause});
+        }
+        if (replica->leaving)
+            refusal.set("Server-Leaving", "1");
+        answer(std::move(refusal), {});
         return;
     }
     ++replica->running;
@@ -92,6 +109,11 @@
         fault.hang = true;
     const bool search = request.target().starts_with("/search/");
     auto response = make_response(200, "");
+    if (replica->leaving) {
+        response.set("Server-Leaving", "1");
+        checker_->record_notice(
+            {id, replica->service, replica->start_name(), steady::now(), {}});
+    }
     response.set("Peridotward-Request-Id", id);
     response.set("Peridotward-Server-Stamp", id + "." + replica->service);
     response.set(
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -25,12 +25,23 @@
     std::string host;
     std::uint16_t port = 0;
     std::uint16_t published_port =
-        0; ///< Port of the proxy in front of the replica.
+        0;                ///< Port of the proxy in front of the replica.
+    std::size_t link = 0; ///< Index of the proxy in front of the replica.
     double shed_share = 0;
     double break_share = base_break_share;
     double hang_share = 0;
     std::uint32_t running = 0;
     std::uint64_t start_id = 1;
+    bool leaving = false; ///< Says in all answers that it is leaving.
+    /// Turns all requests away and asks for a pause of this length, if not
+    /// zero.
+    milliseconds pause{};
+    bool has_fault = false; ///< Another fault must leave the replica alone.
+
+    [[nodiscard]] std::string start_name() const
+    {
+        return id + "#" + std::to_string(start_id);
+    }
 };
 
 /// All replicas of a run; their callbacks run on one thread.
--- a/soak/standins/store.cpp
+++ b/soak/standins/store.cpp
@@ -28,6 +28,12 @@
     answer_watches();
 }
 
+void store::write_again(const lost_write& write)
+{
+    state_.write_again(write);
+    answer_watches();
+}
+
 void store::set_away(bool away)
 {
     away_ = away;
--- a/soak/standins/store.hpp
+++ b/soak/standins/store.hpp
@@ -31,7 +31,11 @@
     /// Forgets all waiting watches; while set, calls get no answer.
     void set_away(bool away);
     /// Loses all changes since `take_copy`; a new era begins.
-    void restore_copy() { state_.restore_copy(); }
+    std::vector<testing::lost_write> restore_copy()
+    {
+        return state_.restore_copy();
+    }
+    void write_again(const testing::lost_write& write);
 
 private:
     struct watch
--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -72,14 +72,35 @@
     copy_ = {items_, revision_};
 }
 
-void store_state::restore_copy()
+std::vector<lost_write> store_state::restore_copy()
 {
     if (!copy_)
         throw std::logic_error{"store stand-in: no copy was taken"};
+    std::vector<lost_write> lost;
+    for (const auto& [key, current] : items_) {
+        if (current.revision <= copy_->revision)
+            continue;
+        lost.push_back({key, current.value, copy_->revision});
+        if (current.removed)
+            lost.back().value.reset();
+    }
     items_ = copy_->items;
     revision_ = copy_->revision;
     oldest_revision_ = std::min(oldest_revision_, revision_);
     ++era_;
+    return lost;
+}
+
+void store_state::write_again(const lost_write& write)
+{
+    const auto current = items_.find(write.key);
+    if (current != items_.end() &&
+        current->second.revision > write.copy_revision)
+        return;
+    if (write.value)
+        put(write.key, *write.value);
+    else
+        remove(write.key);
 }
 
 store_answer store_state::list(
--- a/tests/standins/store_state.hpp
+++ b/tests/standins/store_state.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotward::testing {
 
@@ -16,6 +17,14 @@
     std::string body;
 };
 
+/// A write that the store lost.
+struct lost_write
+{
+    std::string key;
+    std::optional<std::string> value; ///< Nothing for a removal.
+    std::uint64_t copy_revision = 0;  ///< Of the copy that lacks it.
+};
+
 /// The items and the change history of a stand-in for the platform's store,
 /// without input and output.
 class store_state
@@ -32,8 +41,12 @@
 
     /// Loses all changes since `take_copy`. The revisions of the lost changes
     /// are given out again, and a new era begins.
+    /// \returns The last write of each key that was lost.
     /// \throws std::logic_error when there is no copy.
-    void restore_copy();
+    std::vector<lost_write> restore_copy();
+
+    /// Repeats a write, unless its key was written again meanwhile.
+    void write_again(const lost_write& write);
 
     /// \param items_per_page The answer holds at most so many items.
     [[nodiscard]] store_answer
