soak: returns of the store leave time in which a missed change shows

The operator now writes after three of four returns, and half of the series are followed by 5.5 s without a fault of the store.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -181,7 +181,7 @@
             store_.set_away(false);
         });
         // The operator goes on writing before the lost changes are back.
-        if (random.below(2) == 0)
+        if (random.below(4) > 0)
             change_config(random);
         std::shuffle(lost.begin(), lost.end(), std::mt19937_64{random.next()});
         for (const auto& write : lost) {
@@ -191,6 +191,11 @@
         }
         record_disturbance_since(all_instances, from);
     }
+    // Only what is sent after this time without another fault of the store
+    // shows whether an instance has missed a change.
+    if (random.below(2) == 0)
+        std::this_thread::sleep_for(
+            invariant_checker::recovery_allowance + milliseconds{1500});
 }
 
 std::shared_ptr<replica_standin>
