core, gateway: leftovers of earlier changes; a record without a start id

A publication without a start id counted as an earlier start of its upstream when the store had returned from a copy, and was dropped. It has none to compare, so it counts like any other. Found by reading; no case of the platform lacks the field. membership::merge_config and fleet_simulation::check_limits were declared but never defined, upstream_connection::answered_before_ was set but never read. core_tests (133 cases) and gateway_tests (27) pass.

--- a/core/include/peridotward/core/membership/membership.hpp
+++ b/core/include/peridotward/core/membership/membership.hpp
@@ -152,7 +152,6 @@
 
     void merge_update(const member_update& update, time_point now);
     void merge_self_update(const member_update& update);
-    void merge_config(std::string_view from, const config_summary& config);
     void merge_message(
         std::string_view from,
         const config_summary& config,
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -112,7 +112,7 @@
     // of the later one is among the lost changes.
     std::erase_if(listing.upstreams, [&](const upstream_record& record) {
         const auto known = by_id_.find(record.id);
-        return known != by_id_.end() &&
+        return known != by_id_.end() && record.start_id != 0 &&
                record.start_id < at(known->second).published.start_id;
     });
     std::vector<replica_number> published;
--- a/core/tests/fleet_simulation.hpp
+++ b/core/tests/fleet_simulation.hpp
@@ -182,7 +182,6 @@
         duration when,
         const bundle_ptr& newer);
     void apply_bundle(const std::string& instance_id, const bundle_ptr& newer);
-    void check_limits(const process& sender, upstream_index upstream);
     void check_removal(const process& sender, upstream_index upstream);
     void add_violation(const std::string& text);
 
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -116,7 +116,6 @@
     response_message answer_;
     std::optional<response_reader> reader_;
     std::uint32_t mismatched_answers_ = 0;
-    bool answered_before_ = false; ///< Whether an answer was received before.
 };
 
 } // namespace peridotward
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -232,7 +232,6 @@
     if (reusable) {
         phase_ = phase::idle;
         idle_since_ = pool_->loop().now();
-        answered_before_ = true;
         if (output_.capacity() > read_bytes)
             output_.shrink_to_fit();
     }
