--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -36,7 +36,8 @@
     "upstream_paused",
     "replica_ended"};
 
-/// Fields that count the replicas of the missing parts that got no attempt.
+/// Fields of `replicas_unusable`: replicas of the missing parts that got no
+/// attempt, by the reason.
 constexpr std::array<std::pair<std::string_view, std::string_view>, 3>
     unusable_replica_fields{
         {{"excluded", "draining, leaving or in a domain that is out"},
@@ -275,8 +276,10 @@
                               std::string{end->field("parts")} + " parts in " +
                               std::string{end->field("took")};
     std::string why = summarize_failures(timeline);
+    const auto unusable = find("replicas_unusable");
     for (const auto& [field, meaning] : unusable_replica_fields) {
-        const auto count = end->field(field);
+        const auto count = unusable == timeline.end() ? std::string_view{}
+                                                      : unusable->field(field);
         if (!count.empty() && count != "0")
             why += "; replicas " + std::string{meaning} + ": " +
                    std::string{count};
--- a/ctl/tests/log_timeline_test.cpp
+++ b/ctl/tests/log_timeline_test.cpp
@@ -151,12 +151,19 @@
     "[explain]")
 {
     log_timeline log;
-    log.add_log(line(
-        100,
-        0,
-        "a",
-        "event=request_end request=r1 outcome=not_run took=0.1ms parts=10 "
-        "in=0 excluded=1 paused=2 unreachable=0"));
+    log.add_log(
+        line(
+            100,
+            0,
+            "a",
+            "event=replicas_unusable request=r1 excluded=1 paused=2 "
+            "unreachable=0") +
+        line(
+            100,
+            0,
+            "a",
+            "event=request_end request=r1 outcome=not_run took=0.1ms parts=10 "
+            "in=0"));
     CHECK(
         log_timeline::summarize(log.request_lines("r1")) ==
         "not_run, 0 of 10 parts in 0.1ms: no attempt failed; replicas "
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -359,7 +359,7 @@
                          now <= request_.times().full_value_until;
     if (routine && !owner_->log_->accepts_routine(now))
         return;
-    const auto unusable = request_.count_unusable(owner_->context(), now);
+    log_unusable_replicas(now);
     owner_->log_->write(
         now,
         routine ? event_severity::routine : event_severity::notable,
@@ -368,9 +368,6 @@
          {"route", request_.route().name},
          {"outcome", name_of(end)},
          {"took", elapsed},
-         {"excluded", unusable.excluded},
-         {"paused", unusable.paused},
-         {"unreachable", unusable.unreachable},
          {"parts", request_.part_count()},
          {"in", request_.answered_parts()},
          {"attempts", request_.attempts()},
@@ -379,6 +376,21 @@
          {"caller_left", session_ == nullptr ? 1 : 0}});
 }
 
+void forward_operation::log_unusable_replicas(time_point now) const
+{
+    const auto unusable = request_.count_unusable(owner_->context(), now);
+    if (unusable.excluded + unusable.paused + unusable.unreachable == 0)
+        return;
+    owner_->log_->write(
+        now,
+        event_severity::notable,
+        "replicas_unusable",
+        {{"request", request_id_},
+         {"excluded", unusable.excluded},
+         {"paused", unusable.paused},
+         {"unreachable", unusable.unreachable}});
+}
+
 void forward_operation::abandon()
 {
     const boost::intrusive_ptr<forward_operation> guard{this};
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -49,6 +49,7 @@
     void answer_parts(http_session& session);
     void answer_failure(http_session& session, forward_end end);
     void log_end(forward_end end) const;
+    void log_unusable_replicas(time_point now) const;
 
     forwarder* owner_;
     http_session* session_; ///< Null after the answer or a disconnect.
