--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -376,7 +376,8 @@
             attempt.sent > passed->second + drain_bound &&
             !is_interrupted(attempt.instance, passed->second, arrival.at))
             violations.push_back(
-                "sent to a replica that said it leaves: " + arrival.id);
+                "sent to a replica that said it leaves: " + arrival.id +
+                " by instance " + std::to_string(attempt.instance));
     }
 }
 
@@ -405,7 +406,8 @@
             !is_interrupted(instance, notice.at, end))
             violations.push_back(
                 std::to_string(count) + " requests to the paused replica " +
-                notice.replica_start);
+                notice.replica_start + " by instance " +
+                std::to_string(instance));
     }
 }
 
