--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -25,8 +25,10 @@
     replica_health health;
     time_point cold_until;
     /// When the publication disappeared; used only if no other replica serves,
-    /// unless the store lost the publication.
+    /// unless `publication_lost`.
     std::optional<time_point> unpublished_at;
+    /// Whether the publication disappeared because the store came back from a
+    /// copy that lacks it.
     bool publication_lost = false;
     /// When the store lost the publication that said that the replica drains;
     /// it counts as draining until `expire`.
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -82,6 +82,7 @@
     if (found == by_id_.end())
         return;
     auto& target = at(found->second);
+    target.publication_lost = false;
     if (!target.unpublished_at)
         target.unpublished_at = now;
 }
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -121,7 +121,8 @@
         return;
     }
     if (!pool_->wants_requests(replica_)) {
-        // The replica said so while this connection was being made.
+        // The replica was excluded, or asked for a pause, while this connection
+        // was being made.
         phase_ = phase::idle;
         idle_since_ = pool_->loop().now();
         report(forward_outcome::unsent, nullptr);
