--- a/core/include/peridotward/core/discovery/config_catch_up.hpp
+++ b/core/include/peridotward/core/discovery/config_catch_up.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <peridotward/core/discovery/upstream_catalog.hpp>
 #include <peridotward/core/membership/membership.hpp>
+#include <peridotward/core/routing/forward_config.hpp>
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace peridotward {
 
@@ -22,7 +25,7 @@
     /// configuration (3 s).
     static constexpr milliseconds tolerated_delay{1000};
     /// Pause after a fetch, before another member is asked.
-    static constexpr milliseconds retry_pause{300};
+    static constexpr milliseconds retry_pause{1000};
 
     /// \param version In force here; 0 if none is.
     /// \returns The member to fetch the configuration from, or nothing. The
@@ -41,4 +44,11 @@
     std::size_t fetches_ = 0; ///< Selects another member after each failure.
 };
 
+/// \returns The first service to which a route of `config` forwards but of
+/// which no upstream is known; empty if there is none. An instance that can't
+/// reach the store may lack the upstreams that a fetched configuration needs,
+/// and serves callers better by the one it has.
+[[nodiscard]] std::string_view service_without_upstreams(
+    const forward_config& config, const upstream_catalog& catalog);
+
 } // namespace peridotward
--- a/core/src/discovery/config_catch_up.cpp
+++ b/core/src/discovery/config_catch_up.cpp
@@ -57,4 +57,23 @@
     next_fetch_ = now + retry_pause;
 }
 
+std::string_view service_without_upstreams(
+    const forward_config& config, const upstream_catalog& catalog)
+{
+    const auto lacks_upstreams = [&](forward_service_index service) {
+        return catalog.of_service(config.services[service].name).empty();
+    };
+    for (const auto& route : config.routes) {
+        for (const auto shard : route.shards) {
+            if (lacks_upstreams(shard))
+                return config.services[shard].name;
+        }
+        for (const auto& target : route.targets) {
+            if (lacks_upstreams(target.service))
+                return config.services[target.service].name;
+        }
+    }
+    return {};
+}
+
 } // namespace peridotward
--- a/core/tests/config_catch_up_test.cpp
+++ b/core/tests/config_catch_up_test.cpp
@@ -88,3 +88,27 @@
     CHECK_FALSE(second.empty());
     CHECK(first != second);
 }
+
+TEST_CASE(
+    "config catch-up: a service of a route without known upstreams is named",
+    "[catch_up]")
+{
+    forward_config config;
+    config.services.resize(3);
+    config.services[0].name = "known";
+    config.services[1].name = "unknown";
+    config.services[2].name = "unused";
+    forward_route route;
+    route.targets = {{0, 1}};
+    config.routes.push_back(route);
+    upstream_catalog catalog;
+    upstream_record record;
+    record.id = "u";
+    record.service = "known";
+    catalog.publish(record, start);
+    CHECK(service_without_upstreams(config, catalog).empty());
+    route.targets.clear();
+    route.shards = {0, 1};
+    config.routes.push_back(route);
+    CHECK(service_without_upstreams(config, catalog) == "unknown");
+}
