gateway, core: logs and metrics name the service and address of failed attempts

attempt_failed names the service and the address of the replica, the counters of failed and extra attempts carry the service, and retry_budget_used tells once a second what an instance has spent of a service's budget and what it may spend.

--- a/core/include/peridotward/core/budgets/retry_budget_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_budget_window.hpp
@@ -60,23 +60,24 @@
         std::uint32_t instances,
         time_point now) noexcept;
 
-private:
-    struct slice
-    {
-        std::uint32_t requests = 0;
-        std::uint32_t extra_attempts = 0;
-    };
-
     struct totals
     {
-        double allowed = 0;
-        double spent = 0;
+        double allowed = 0; ///< Extra attempts that may be sent in the window.
+        double spent = 0;   ///< Extra attempts sent in the window.
     };
 
     [[nodiscard]] totals count(
         const retry_bounds& bounds,
         std::uint32_t instances,
         time_point now) noexcept;
+
+private:
+    struct slice
+    {
+        std::uint32_t requests = 0;
+        std::uint32_t extra_attempts = 0;
+    };
+
     void advance(const retry_bounds& bounds, time_point now) noexcept;
 
     /// The slices of the window, the current one, and one more for extra
--- a/core/include/peridotward/core/budgets/retry_budgets.hpp
+++ b/core/include/peridotward/core/budgets/retry_budgets.hpp
@@ -67,11 +67,25 @@
             bounds_at(now), instances_, kind, now);
     }
     void refund(const std::string& service) { windows_[service].refund(); }
+    /// \brief Calls `visit(service, totals)` for each service.
+    template<class Visitor>
+    void visit_totals(time_point now, Visitor&& visit)
+    {
+        for (auto& [service, window] : windows_)
+            visit(service, window.count(bounds_at(now), instances_, now));
+    }
+
     [[nodiscard]] double remaining(const std::string& service, time_point now)
     {
         return windows_[service].remaining(bounds_at(now), instances_, now);
     }
 
+    /// \returns The number of instances that share the burst allowance.
+    [[nodiscard]] std::uint32_t instances() const noexcept
+    {
+        return instances_;
+    }
+
 private:
     [[nodiscard]] retry_bounds bounds_at(time_point now) const noexcept
     {
--- a/core/tests/forward_budgets_test.cpp
+++ b/core/tests/forward_budgets_test.cpp
@@ -170,3 +170,22 @@
         CHECK(sent.size() <= 3);
     }
 }
+
+TEST_CASE("retry budgets: the totals of each service are visited", "[budgets]")
+{
+    retry_budgets budgets{{0.5, 8, seconds{10}}};
+    budgets.started(start - seconds{60});
+    budgets.instances(4);
+    for (int i = 0; i < 10; ++i)
+        budgets.on_request("a", start);
+    budgets.on_request("b", start);
+    REQUIRE(budgets.try_spend("a", extra_attempt_kind::retry, start));
+    std::size_t services = 0;
+    budgets.visit_totals(
+        start, [&](const std::string& service, const auto& totals) {
+            ++services;
+            CHECK(totals.allowed == (service == "a" ? 7.0 : 2.5));
+            CHECK(totals.spent == (service == "a" ? 1.0 : 0.0));
+        });
+    CHECK(services == 2);
+}
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -77,6 +77,7 @@
         milliseconds retry_after = {});
     [[nodiscard]] retry_schedule&
     retry_schedule_of(const forwarded_request& request);
+    void log_retry_budgets(time_point now);
     [[nodiscard]] forward_context context() noexcept
     {
         return {&catalog_, &replica_selector_, &retry_budgets_, &fleet_};
@@ -100,6 +101,7 @@
     /// By the name of the route's first service, so that routes to the same
     /// upstreams share one schedule.
     std::unordered_map<std::string, retry_schedule> retry_schedules_;
+    time_point next_budget_log_;
     std::size_t open_requests_ = 0;
     bool closing_ = false;
 };
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -199,7 +199,8 @@
                 owner_->loop_->now())))
         unsent_attempts_.push_back(to_send.attempt);
     if (to_send.extra)
-        owner_->stats_->count("repeats_total");
+        owner_->stats_->count(
+            "repeats_total{service=\"" + target.published.service + "\"}");
 }
 
 void forward_operation::on_attempt_end(
@@ -209,17 +210,20 @@
     const auto now = owner_->loop_->now();
     const auto outcome_name = name_of(outcome);
     if (outcome != forward_outcome::answered) {
+        const auto& target =
+            owner_->catalog_.at(request_.replica_of(attempt)).published;
         owner_->stats_->count(
             "attempt_failures_total{outcome=\"" + std::string{outcome_name} +
-            "\"}");
+            "\",service=\"" + target.service + "\"}");
         owner_->log_->write(
             now,
             event_severity::notable,
             "attempt_failed",
             {{"request", request_id_},
              {"route", request_.route().name},
-             {"replica",
-              owner_->catalog_.at(request_.replica_of(attempt)).published.id},
+             {"replica", target.id},
+             {"service", target.service},
+             {"address", target.address.text()},
              {"outcome", outcome_name},
              {"status", answer != nullptr ? answer->status : 0},
              {"age", now - request_.times().arrived}});
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -26,6 +26,13 @@
     return target.substr(0, target.find('?'));
 }
 
+/// Interval of the log lines about used retry budgets.
+constexpr seconds budget_log_interval{1};
+/// Services with fewer extra attempts in the window are not logged.
+constexpr double min_logged_spend = 5;
+/// Share of the budget from which its use is logged.
+constexpr double min_logged_budget_share = 0.5;
+
 /// Max accepted remaining time of a caller.
 constexpr milliseconds max_time_left{600'000};
 
@@ -241,8 +248,30 @@
         static_cast<forward_operation&>(*operation).abandon();
 }
 
+void forwarder::log_retry_budgets(time_point now)
+{
+    if (now < next_budget_log_)
+        return;
+    next_budget_log_ = now + budget_log_interval;
+    retry_budgets_.visit_totals(
+        now, [&](const std::string& service, const auto& totals) {
+            if (totals.spent < min_logged_spend ||
+                totals.spent < min_logged_budget_share * totals.allowed)
+                return;
+            log_->write(
+                now,
+                event_severity::notable,
+                "retry_budget_used",
+                {{"service", service},
+                 {"spent", static_cast<std::uint64_t>(totals.spent)},
+                 {"allowed", static_cast<std::uint64_t>(totals.allowed)},
+                 {"instances", retry_budgets_.instances()}});
+        });
+}
+
 void forwarder::check(time_point now)
 {
+    log_retry_budgets(now);
     pool_.check(now);
     for (const auto ended : catalog_.expire(now)) {
         pool_.remove_replica(ended);
