core: failing tests of replicas whose address another upstream has

A replica that answers 421 gets 115 more attempts in 300 requests; the target is none, as each arrives, uncharged, at whatever upstream has the address. A replica whose address a later publication has stays in use.

--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -384,6 +384,40 @@
     }
 }
 
+// Guards against attempts that arrive, uncharged, at the upstream that now has
+// the address of a lost replica.
+TEST_CASE(
+    "discovery: an upstream whose address a later one has is excluded",
+    "[.stale_address]")
+{
+    upstream_catalog catalog;
+    const auto is_excluded = [&](replica_number number) {
+        return catalog.availability(catalog.at(number)) ==
+               replica_availability::excluded;
+    };
+    auto other = in_era(1, 81, "b");
+    other.service = "t";
+    SECTION("published later")
+    {
+        catalog.publish(in_era(1, 80, "a"), start);
+        catalog.publish(other, start);
+        CHECK(is_excluded(0));
+        CHECK_FALSE(is_excluded(1));
+        SECTION("unless the earlier one is published again")
+        {
+            catalog.publish(in_era(1, 82, "a"), start);
+            CHECK_FALSE(is_excluded(0));
+            CHECK(is_excluded(1));
+        }
+    }
+    SECTION("both in one listing, in any order")
+    {
+        catalog.replace({{other, in_era(1, 80, "a")}, {}}, start);
+        CHECK_FALSE(is_excluded(0));
+        CHECK(is_excluded(1));
+    }
+}
+
 TEST_CASE(
     "discovery: a pause that an upstream asked for survives a lapse of its "
     "publication",
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -48,9 +48,13 @@
             profile.add(milliseconds{10});
     }
 
-    void publish(const std::string& service, const std::string& id)
+    void publish(
+        const std::string& service,
+        const std::string& id,
+        std::uint64_t revision = 1)
     {
         upstream_record record;
+        record.position.revision = revision;
         record.id = id;
         record.service = service;
         record.address = {"10.0.0.1", 80};
@@ -416,6 +420,47 @@
         start + seconds{1});
 }
 
+// Guards against attempts that arrive, uncharged, at the upstream that now has
+// the address of a lost replica.
+TEST_CASE(
+    "forwarding: a replica whose address another upstream has gets no further "
+    "attempts",
+    "[.stale_address]")
+{
+    forward_fixture fixture{1, 2, idempotent(3)};
+    const auto lost = fixture.catalog.of_service("s0").front();
+    std::size_t arrivals = 0;
+    const auto send_requests = [&](time_point begin) {
+        for (int i = 0; i < 300; ++i) {
+            const auto now = begin + i * milliseconds{10};
+            auto request = fixture.make_request();
+            fixture.out.clear();
+            request.begin(fixture.context(), fixture.profile, now, fixture.out);
+            // The other replica refuses half of the requests, so that each
+            // request is tried at both.
+            for (std::uint32_t a = 0; a < request.attempts(); ++a) {
+                const bool misdirected = request.replica_of(a) == lost;
+                arrivals += misdirected ? 1 : 0;
+                fixture.result(
+                    request,
+                    a,
+                    misdirected  ? forward_outcome::misdirected
+                    : i % 2 == 0 ? forward_outcome::refused
+                                 : forward_outcome::answered,
+                    now);
+            }
+        }
+    };
+    send_requests(start);
+    CHECK(arrivals == 1);
+    SECTION("until it is published again")
+    {
+        fixture.publish("s0", fixture.catalog.at(lost).published.id, 2);
+        send_requests(start + seconds{4});
+        CHECK(arrivals == 2);
+    }
+}
+
 TEST_CASE("selector: a slow replica is tried again later", "[placement]")
 {
     forward_fixture fixture{1, 2, idempotent(2)};
