core, gateway: a replica whose address another upstream has gets no further attempt

Cause: an answer 421 says that the replica has ended and that its address is another upstream's. It counted as a failed connection, which lowers the preference for 0.1 to 1 s; a replica that is listed stays a candidate, and the only one for hedges and retries of a shard that lost its others. Each attempt arrived at the service that now has the address and was charged to the one that lost it. Instances that can't read the store list the lost replica until they can.

Change: a replica is excluded from its first 421, or from the publication of another upstream with its address that started later, until it is published again. The fields of a 421 (load, remaining cold start) aren't taken for the replica's own, and its connection isn't used again.

Fixtures that gave all their replicas one address now give each its own.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -36,6 +36,9 @@
     /// Whether the upstream said in an answer that it is leaving; an upstream
     /// never returns from that within one start.
     bool leaving = false;
+    /// Whether another upstream has the address: this one has ended, or will
+    /// publish itself again.
+    bool address_taken = false;
 
     [[nodiscard]] bool cold(time_point now) const noexcept
     {
@@ -48,7 +51,9 @@
 {
     serving,
     unpublished, ///< Publication gone, possibly by a lapse of the store.
-    excluded,    ///< Draining, leaving, or in an evacuated failure domain.
+    /// Draining, leaving, without its address, or in an evacuated failure
+    /// domain.
+    excluded,
 };
 
 /// \brief All upstreams and exclusions in the store at one time.
@@ -94,6 +99,16 @@
     /// \returns Whether that is new.
     bool mark_leaving(replica_number number);
 
+    /// \brief Records that another upstream answered at the replica's address.
+    ///
+    /// \remarks Each further attempt would arrive at that upstream, as an extra
+    /// attempt that no budget knows of. Holds until the replica is published
+    /// again.
+    void mark_address_taken(replica_number number)
+    {
+        at(number).address_taken = true;
+    }
+
     /// \brief Excludes or readmits all upstreams of a failure domain.
     void set_domain_excluded(std::string_view domain, bool excluded);
 
@@ -148,10 +163,14 @@
     void remove(replica_number number);
     /// Applies a record regardless of its position.
     void update(replica& target, upstream_record record, time_point now);
+    /// Settles which of two replicas with the same address has it.
+    void claim_address(replica& claimant);
 
     std::vector<std::unique_ptr<replica>> replicas_;
     std::unordered_map<std::string, replica_number> by_id_;
     std::unordered_map<std::string, std::vector<replica_number>> by_service_;
+    /// The replica that has the address.
+    std::map<endpoint, replica_number> by_address_;
     std::set<std::string, std::less<>> excluded_;
     /// By address: notices of removed upstreams, so that a publication that
     /// lapsed and returns changes nothing.
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -5,6 +5,34 @@
 
 namespace peridotward {
 
+namespace {
+
+/// Whether `a` started after `b`, given that both have the same address and so
+/// never ran at the same time.
+bool started_later(const upstream_record& a, const upstream_record& b) noexcept
+{
+    if (a.position.era == b.position.era)
+        return a.position.revision > b.position.revision;
+    if (a.start_id != 0 && b.start_id != 0)
+        return a.start_id > b.start_id;
+    return a.position.era > b.position.era;
+}
+
+} // namespace
+
+void upstream_catalog::claim_address(replica& claimant)
+{
+    const auto [found, added] =
+        by_address_.try_emplace(claimant.published.address, claimant.number);
+    if (added || found->second == claimant.number)
+        return;
+    auto& other = at(found->second);
+    const bool won = started_later(claimant.published, other.published);
+    (won ? other : claimant).address_taken = true;
+    if (won)
+        found->second = claimant.number;
+}
+
 void upstream_catalog::add(upstream_record record, time_point now)
 {
     auto added = std::make_unique<replica>();
@@ -23,6 +51,7 @@
     by_service_[record.service].push_back(added->number);
     added->published = std::move(record);
     replicas_.push_back(std::move(added));
+    claim_address(*replicas_.back());
 }
 
 void upstream_catalog::remove(replica_number number)
@@ -37,6 +66,9 @@
                 removed.start_id,
                 at(number).leaving,
                 paused_until});
+    if (const auto owner = by_address_.find(removed.address);
+        owner != by_address_.end() && owner->second == number)
+        by_address_.erase(owner);
     auto& listed = by_service_[removed.service];
     std::erase(listed, number);
     const auto found = by_id_.find(removed.id);
@@ -73,7 +105,10 @@
     target.publication_lost = false;
     target.drain_lost_at.reset();
     target.cold_until = now + record.cold_start_remaining;
+    if (record.position > target.published.position)
+        target.address_taken = false;
     target.published = std::move(record);
+    claim_address(target);
 }
 
 void upstream_catalog::withdraw(std::string_view id, time_point now)
@@ -173,7 +208,7 @@
 {
     const auto& published = candidate.published;
     if (published.draining || candidate.drain_lost_at || candidate.leaving ||
-        excluded_.contains(published.domain))
+        candidate.address_taken || excluded_.contains(published.domain))
         return replica_availability::excluded;
     const bool withdrawn =
         candidate.unpublished_at && !candidate.publication_lost;
--- a/core/src/experiment/experiment_setup.cpp
+++ b/core/src/experiment/experiment_setup.cpp
@@ -73,6 +73,7 @@
         for (const auto& replica : replicas_) {
             upstream_record record;
             record.id = "r" + std::to_string(replica.number);
+            record.address.host = record.id;
             record.service =
                 "s" + std::to_string(replica.number / size_.replicas);
             record.domain =
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -259,6 +259,7 @@
         break;
     case forward_outcome::misdirected:
         health.on_unreachable(now);
+        context.catalog->mark_address_taken(ended.to);
         --part.ran;
         ++part.refusals;
         break;
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -388,7 +388,7 @@
 // the address of a lost replica.
 TEST_CASE(
     "discovery: an upstream whose address a later one has is excluded",
-    "[.stale_address]")
+    "[discovery]")
 {
     upstream_catalog catalog;
     const auto is_excluded = [&](replica_number number) {
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -57,7 +57,7 @@
         record.position.revision = revision;
         record.id = id;
         record.service = service;
-        record.address = {"10.0.0.1", 80};
+        record.address = {id, 80};
         record.domain = "d0";
         record.slots = 4;
         catalog.publish(std::move(record), start);
@@ -425,7 +425,7 @@
 TEST_CASE(
     "forwarding: a replica whose address another upstream has gets no further "
     "attempts",
-    "[.stale_address]")
+    "[forwarding]")
 {
     forward_fixture fixture{1, 2, idempotent(3)};
     const auto lost = fixture.catalog.of_service("s0").front();
--- a/core/tests/replica_selector_test.cpp
+++ b/core/tests/replica_selector_test.cpp
@@ -28,6 +28,7 @@
             upstream_record record;
             record.id = domain;
             record.service = "s";
+            record.address = {domain, 80};
             record.domain = domain;
             record.slots = slots;
             catalog.publish(std::move(record), start);
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -58,6 +58,7 @@
                                                                   : "barred"},
              {"cold", replica.cold(now)},
              {"leaving", replica.leaving},
+             {"address_taken", replica.address_taken},
              {"paused", replica.health.paused(now)},
              {"slowness", replica.health.slowness(now)},
              {"failure_share", replica.health.failure_share(now)},
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -227,7 +227,9 @@
         return;
     }
     const bool request_sent = written_ == output_.size();
-    const bool reusable = answer_.keep_alive && request_sent && input_.empty();
+    const bool reusable = answer_.keep_alive && request_sent &&
+                          input_.empty() &&
+                          answer_.status != misdirected_request;
     record_answer_fields();
     const auto outcome = outcome_of_answer();
     if (reusable) {
@@ -243,6 +245,9 @@
 
 void upstream_connection::record_answer_fields()
 {
+    // The fields describe the upstream that answers, which isn't this one.
+    if (answer_.status == misdirected_request)
+        return;
     const auto now = pool_->loop().now();
     auto& replica = pool_->catalog().at(replica_);
     if (const auto text = answer_.fields.find(pool_->names().load)) {
@@ -254,7 +259,6 @@
             replica.cold_until = now + milliseconds{*remaining};
     }
     const bool leaving =
-        answer_.status != misdirected_request &&
         answer_.fields.find(pool_->names().leaving).value_or("") == "1";
     if (leaving && pool_->catalog().mark_leaving(replica_) && pool_->on_leaving)
         pool_->on_leaving(replica_);
