core: an attempt that is not sent is refunded to the slice that it was charged to

Cause: a refund lowered the present slice of the window. A charge of 4 s ago then left the window 4 s before the attempts that had used its room, and a refund in a slice without a charge was lost.

Evidence: the new test failed before: with half of a budget of 56 refunded after 4 s, 28 more attempts were allowed inside the window, and after it 28 of 56. Now 0 and 56.

--- a/core/include/peridotward/core/budgets/retry_budget_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_budget_window.hpp
@@ -51,8 +51,9 @@
         extra_attempt_kind kind,
         time_point now) noexcept;
 
-    /// \brief Returns an extra attempt that was not sent to the budget.
-    void refund() noexcept;
+    /// \brief Returns to the budget an extra attempt that was not sent.
+    /// \param spent_at The time that was passed to `try_spend`.
+    void refund(const retry_bounds& bounds, time_point spent_at) noexcept;
 
     /// \returns The number of retries that may be sent now.
     [[nodiscard]] double remaining(
--- a/core/include/peridotward/core/budgets/retry_budgets.hpp
+++ b/core/include/peridotward/core/budgets/retry_budgets.hpp
@@ -66,7 +66,10 @@
         return windows_[service].try_spend(
             bounds_at(now), instances_, kind, now);
     }
-    void refund(const std::string& service) { windows_[service].refund(); }
+    void refund(const std::string& service, time_point spent_at)
+    {
+        windows_[service].refund(bounds_, spent_at);
+    }
     /// \brief Calls `visit(service, totals)` for each service.
     template<class Visitor>
     void visit_totals(time_point now, Visitor&& visit)
--- a/core/src/budgets/retry_budget_window.cpp
+++ b/core/src/budgets/retry_budget_window.cpp
@@ -73,11 +73,20 @@
     return true;
 }
 
-void retry_budget_window::refund() noexcept
+void retry_budget_window::refund(
+    const retry_bounds& bounds, time_point spent_at) noexcept
 {
-    auto& current = ring_.at(head_);
-    if (current.extra_attempts > 0)
-        --current.extra_attempts;
+    // The slice of another time would leave the window sooner or later than the
+    // attempts that are counted in it.
+    const duration length = bounds.window / slices;
+    std::size_t age = 0;
+    for (auto begin = head_start_; spent_at < begin; begin -= length) {
+        if (++age >= ring_.size())
+            return;
+    }
+    auto& charged = ring_.at((head_ + ring_.size() - age) % ring_.size());
+    if (charged.extra_attempts > 0)
+        --charged.extra_attempts;
 }
 
 } // namespace peridotward
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -273,7 +273,7 @@
         --part.arrivals;
         ++part.refusals;
         if (ended.extra)
-            context.budgets->refund(service(ended.part).name);
+            context.budgets->refund(service(ended.part).name, ended.sent_at);
         break;
     }
     if (ended_ || part.answered)
--- a/core/tests/forward_budgets_test.cpp
+++ b/core/tests/forward_budgets_test.cpp
@@ -119,10 +119,36 @@
     budgets.started(start - seconds{60});
     CHECK(budgets.try_spend("s", extra_attempt_kind::retry, start));
     CHECK_FALSE(budgets.try_spend("s", extra_attempt_kind::retry, start));
-    budgets.refund("s");
+    budgets.refund("s", start);
     CHECK(budgets.try_spend("s", extra_attempt_kind::retry, start));
 }
 
+// Guards against refunds that make room in another part of the window than the
+// attempt took.
+TEST_CASE(
+    "retry budgets: attempts that are refunded late do not raise the limit",
+    "[budgets]")
+{
+    retry_budgets budgets{{0, 56, seconds{10}}};
+    budgets.started(start - seconds{60});
+    const auto spend = [&](int count, time_point now) {
+        int spent = 0;
+        while (spent < count &&
+               budgets.try_spend("s", extra_attempt_kind::retry, now))
+            ++spent;
+        return spent;
+    };
+    const auto refunded_at = start + seconds{4};
+    // Half of the budget waits in vain for connections, half is sent later.
+    REQUIRE(spend(28, start) == 28);
+    REQUIRE(spend(56, refunded_at) == 28);
+    for (int i = 0; i < 28; ++i)
+        budgets.refund("s", start);
+    CHECK(spend(56, refunded_at) == 28);
+    CHECK(spend(56, refunded_at + milliseconds{9900}) == 0);
+    CHECK(spend(56, refunded_at + seconds{12}) == 56);
+}
+
 TEST_CASE(
     "retry budgets: a lower instance count does not raise the share",
     "[budgets]")
