gateway, platform: logs and metrics name the rate limits of upstreams

upstream_rate_limited and upstream_rate_limit_ended, the gauge replicas_rate_limited and /state show what upstreams say in Server-Limit. No decision uses it yet.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -36,6 +36,9 @@
     /// Whether the upstream said in an answer that it is leaving; an upstream
     /// never returns from that within one start.
     bool leaving = false;
+    /// Requests a second that the replica takes from all instances together, as
+    /// its last answer said.
+    std::optional<double> rate_limit;
     /// Whether another upstream has the address: this one has ended, or will
     /// publish itself again.
     bool address_taken = false;
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -16,6 +16,8 @@
     std::string load;            ///< `running,waiting,slots` of an upstream.
     std::string not_run;         ///< The upstream did not run the request.
     std::string cold_left;       ///< Remaining milliseconds of a cold start.
+    /// Requests a second that an upstream takes from all instances together.
+    std::string rate_limit;
     std::string leaving;         ///< `1`: the upstream that answers is leaving.
     std::string part_signatures; ///< Signatures of the parts of an answer.
     std::string parts_missing;   ///< Number of parts left out of an answer.
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -96,6 +96,7 @@
     void on_connection_end(bool orderly);
     void on_answer();
     void record_answer_fields();
+    void record_rate_limit();
     void record_pause();
     [[nodiscard]] forward_outcome outcome_of_answer() const;
     void report(forward_outcome outcome, response_message* answer);
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 
 namespace peridotward {
 
@@ -72,6 +73,9 @@
     /// Called when a replica that was not paused asks for a pause.
     std::function<void(replica_number, milliseconds)> on_pause;
 
+    /// Called when a replica begins or ceases to name a rate limit.
+    std::function<void(replica_number, std::optional<double>)> on_rate_limit;
+
     [[nodiscard]] std::size_t connection_count() const;
 
     /// \returns The number of queued requests.
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -22,17 +22,20 @@
     std::uint64_t cold = 0;
     std::uint64_t leaving = 0;
     std::uint64_t paused = 0;
+    std::uint64_t rate_limited = 0;
     const auto live = forwarding_->catalog().live();
     for (const auto number : live) {
         const auto& replica = forwarding_->catalog().at(number);
         cold += replica.cold(loop_->now()) ? 1 : 0;
         leaving += replica.leaving ? 1 : 0;
+        rate_limited += replica.rate_limit ? 1 : 0;
         paused += replica.health.paused(loop_->now()) ? 1 : 0;
     }
     gauge("replicas", live.size());
     gauge("replicas_cold", cold);
     gauge("replicas_leaving", leaving);
     gauge("replicas_paused", paused);
+    gauge("replicas_rate_limited", rate_limited);
     return text;
 }
 
@@ -59,6 +62,8 @@
              {"cold", replica.cold(now)},
              {"leaving", replica.leaving},
              {"address_taken", replica.address_taken},
+             {"rate_limit",
+              replica.rate_limit ? json(*replica.rate_limit) : json()},
              {"paused", replica.health.paused(now)},
              {"slowness", replica.health.slowness(now)},
              {"failure_share", replica.health.failure_share(now)},
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -96,6 +96,19 @@
              {"service", published.service},
              {"source", "answer"}});
     };
+    pool_.on_rate_limit = [this](replica_number number, auto per_second) {
+        const auto& published = catalog_.at(number).published;
+        stats_->count("upstream_rate_limits_total");
+        log_->write(
+            loop_->now(),
+            event_severity::notable,
+            per_second ? "upstream_rate_limited" : "upstream_rate_limit_ended",
+            {{"replica", published.id},
+             {"service", published.service},
+             {"source", "answer"},
+             {"per_minute",
+              static_cast<std::uint64_t>(per_second.value_or(0) * 60)}});
+    };
     pool_.on_pause = [this](replica_number number, milliseconds pause) {
         const auto& published = catalog_.at(number).published;
         stats_->count("upstream_pauses_total");
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace peridotward {
@@ -30,6 +31,18 @@
     return value;
 }
 
+/// Parses a decimal number of requests a second.
+std::optional<double> parse_rate(std::string_view text)
+{
+    double value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc{} || stop != end || !std::isfinite(value) ||
+        value < 0)
+        return std::nullopt;
+    return value;
+}
+
 /// Parses `running,waiting,slots`.
 std::optional<reported_load> parse_load(std::string_view text)
 {
@@ -262,6 +275,7 @@
         answer_.fields.find(pool_->names().leaving).value_or("") == "1";
     if (leaving && pool_->catalog().mark_leaving(replica_) && pool_->on_leaving)
         pool_->on_leaving(replica_);
+    record_rate_limit();
     if (answer_.status == service_unavailable)
         record_pause();
     usable_until_ = time_point::max();
@@ -271,6 +285,22 @@
     }
 }
 
+void upstream_connection::record_rate_limit()
+{
+    auto& current = pool_->catalog().at(replica_).rate_limit;
+    const auto text = answer_.fields.find(pool_->names().rate_limit);
+    // A refusal may come from a part of the upstream that knows no limit.
+    if (!text && answer_.fields.find(pool_->names().not_run))
+        return;
+    const auto named = text ? parse_rate(*text) : std::nullopt;
+    if (text && !named)
+        return;
+    const bool changed = named.has_value() != current.has_value();
+    current = named;
+    if (changed && pool_->on_rate_limit)
+        pool_->on_rate_limit(replica_, named);
+}
+
 void upstream_connection::record_pause()
 {
     const auto text = answer_.fields.find("Retry-After");
