core, gateway: the requests of all instances stay within the rate that a replica names

Cause: nothing read Server-Limit.

Change: each answer says what holds; an executed answer without the field ends it, a refusal without it doesn't. The rate is divided in whole requests within 4 s, the largest remainders by rendezvous weight, so that the shares add up to it for any number of instances and those that were all idle don't exceed it when they send at once. First attempts, hedges and retries count when the replica is chosen, and are given back when they aren't sent. Other replicas are chosen meanwhile; a part without a place is refused at once with the time of the next request in the share.

--- a/core/include/peridotward/core/budgets/cold_limit.hpp
+++ b/core/include/peridotward/core/budgets/cold_limit.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <peridotward/base/time.hpp>
+#include <peridotward/core/budgets/request_window.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <span>
 #include <string>
 #include <string_view>
@@ -22,9 +21,6 @@
 
 /// \returns This instance's share of the requests a second that the fleet may
 /// send to the cold replica `id`.
-///
-/// \remarks Where the limit does not divide evenly, the instances with the
-/// highest rendezvous weight for this replica send one request more.
 [[nodiscard]] std::uint32_t cold_allowance(
     std::string_view id,
     double rate,
@@ -32,22 +28,11 @@
     std::string_view self,
     std::span<const std::string> instances);
 
-/// \brief Sliding-window counter of the requests to one cold replica.
-class cold_window
+/// \brief Counter of the requests to one cold replica within a second.
+class cold_window : public request_window
 {
 public:
-    /// \brief Counts a request if fewer than `allowance` were sent within the
-    /// last second.
-    ///
-    /// \returns Whether the request may be sent.
-    [[nodiscard]] bool try_acquire(std::uint32_t allowance, time_point now);
-
-    /// \returns The earliest time at which another request may be sent.
-    [[nodiscard]] time_point
-    earliest_retry(std::uint32_t allowance, time_point now) const;
-
-private:
-    std::deque<time_point> sent_times_;
+    cold_window() noexcept : request_window{seconds{1}} {}
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/placement/replica_selector.hpp
+++ b/core/include/peridotward/core/placement/replica_selector.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/base/random.hpp>
 #include <peridotward/core/budgets/cold_limit.hpp>
+#include <peridotward/core/budgets/rate_share.hpp>
 #include <peridotward/core/discovery/upstream_catalog.hpp>
 #include <peridotward/core/routing/forward_config.hpp>
 
@@ -29,6 +30,8 @@
     std::uint32_t excluded = 0;    ///< Draining, leaving, or domain excluded.
     std::uint32_t paused = 0;      ///< Asked to get no requests for a while.
     std::uint32_t unreachable = 0; ///< Connections fail.
+    /// This instance's share of the rate that they take is used up.
+    std::uint32_t rate_limited = 0;
 };
 
 /// \brief Selects the replica for one request.
@@ -81,8 +84,8 @@
 
     /// \param avoid Replicas that the request was already sent to.
     /// \param typical_latency Typical latency of this kind of request.
-    /// \returns The replica, counted against its cold-start limit, or nothing
-    /// when none may be used now.
+    /// \returns The replica, counted against its cold-start and rate limits, or
+    /// nothing when none may be used now.
     [[nodiscard]] std::optional<replica_number> choose(
         const forward_service& service,
         std::span<const replica_number> avoid,
@@ -90,6 +93,10 @@
         const fleet_view& fleet,
         time_point now);
 
+    /// \brief Undoes the count of a request that was chosen at `chosen_at` and
+    /// not sent, so that another one may be sent instead.
+    void release(replica_number number, time_point chosen_at) noexcept;
+
     /// \returns When a request to `service` may next be served; an estimate
     /// where that depends on replicas.
     [[nodiscard]] time_point earliest_retry(
@@ -98,8 +105,10 @@
         time_point now) const;
 
     /// \returns The replicas of `service` that get no request now.
-    [[nodiscard]] unusable_replicas
-    count_unusable(const forward_service& service, time_point now) const;
+    [[nodiscard]] unusable_replicas count_unusable(
+        const forward_service& service,
+        const fleet_view& fleet,
+        time_point now) const;
 
     /// \param typical_latency Typical latency of this kind of request.
     /// \param queued_request_cost Mean cost of a queued request: the typical
@@ -117,6 +126,20 @@
     /// queued request.
     [[nodiscard]] double update_queued_request_cost(
         const std::string& service, duration typical_latency);
+    /// \returns This instance's share of the rate limit that the replica names.
+    [[nodiscard]] std::uint32_t
+    share_of_rate(const replica& candidate, const fleet_view& fleet) const;
+    [[nodiscard]] bool is_share_used_up(
+        const replica& candidate,
+        const fleet_view& fleet,
+        time_point now) const;
+    [[nodiscard]] bool try_acquire_rate(
+        const replica& candidate, const fleet_view& fleet, time_point now);
+    [[nodiscard]] bool try_acquire(
+        const replica& candidate,
+        const forward_service& service,
+        const fleet_view& fleet,
+        time_point now);
     [[nodiscard]] bool try_acquire_cold(
         const replica& candidate,
         const forward_service& service,
@@ -128,6 +151,7 @@
     std::string own_domain_;
     random_source* random_;
     std::unordered_map<replica_number, cold_window> cold_windows_;
+    std::unordered_map<replica_number, rate_share> rate_shares_;
     /// By service: mean of the typical latencies of its requests, in seconds.
     std::unordered_map<std::string, double> mean_typical_latency_;
 };
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -86,11 +86,12 @@
     for (std::uint32_t part = 0; part < parts_.size(); ++part) {
         if (!parts_[part].given_up)
             continue;
-        const auto counted =
-            context.selector->count_unusable(service(part), now);
+        const auto counted = context.selector->count_unusable(
+            service(part), *context.fleet, now);
         total.excluded += counted.excluded;
         total.paused += counted.paused;
         total.unreachable += counted.unreachable;
+        total.rate_limited += counted.rate_limited;
     }
     return total;
 }
@@ -130,13 +131,17 @@
     // A hedge helps only if the replica can serve it without queueing.
     if (is_hedge &&
         (context.budgets->refuses_often(target.name) ||
-         !replica.health.has_free_slot(replica.published.slots, now)))
+         !replica.health.has_free_slot(replica.published.slots, now))) {
+        context.selector->release(*chosen, now);
         return false;
+    }
     const bool extra = state.arrivals > 0;
     const auto use =
         is_hedge ? extra_attempt_kind::hedge : extra_attempt_kind::retry;
-    if (extra && !context.budgets->try_spend(target.name, use, now))
+    if (extra && !context.budgets->try_spend(target.name, use, now)) {
+        context.selector->release(*chosen, now);
         return false;
+    }
     state.tried.push_back(*chosen);
     ++state.open;
     ++state.ran;
@@ -170,6 +175,7 @@
     if (has_failed()) {
         for (auto& unsent : attempts_) {
             unsent.open = false;
+            context.selector->release(unsent.to, now);
             context.catalog->at(unsent.to).health.on_cancelled();
         }
         finish(forward_end::not_run, out);
@@ -272,6 +278,7 @@
         --part.ran;
         --part.arrivals;
         ++part.refusals;
+        context.selector->release(ended.to, ended.sent_at);
         if (ended.extra)
             context.budgets->refund(service(ended.part).name, ended.sent_at);
         break;
--- a/core/src/placement/replica_selector.cpp
+++ b/core/src/placement/replica_selector.cpp
@@ -68,6 +68,45 @@
     return mean->second / own_seconds.count();
 }
 
+std::uint32_t replica_selector::share_of_rate(
+    const replica& candidate, const fleet_view& fleet) const
+{
+    return rate_share::of(
+        *candidate.rate_limit,
+        candidate.published.id,
+        fleet.self,
+        fleet.others);
+}
+
+bool replica_selector::try_acquire_rate(
+    const replica& candidate, const fleet_view& fleet, time_point now)
+{
+    return !candidate.rate_limit || rate_shares_[candidate.number].try_acquire(
+                                        share_of_rate(candidate, fleet), now);
+}
+
+bool replica_selector::try_acquire(
+    const replica& candidate,
+    const forward_service& service,
+    const fleet_view& fleet,
+    time_point now)
+{
+    if (!try_acquire_rate(candidate, fleet, now))
+        return false;
+    if (try_acquire_cold(candidate, service, fleet, now))
+        return true;
+    release(candidate.number, now);
+    return false;
+}
+
+void replica_selector::release(
+    replica_number number, time_point chosen_at) noexcept
+{
+    if (const auto share = rate_shares_.find(number);
+        share != rate_shares_.end())
+        share->second.release(chosen_at);
+}
+
 bool replica_selector::try_acquire_cold(
     const replica& candidate,
     const forward_service& service,
@@ -100,6 +139,12 @@
         if (candidate.health.unreachable(now))
             retry_at_estimate =
                 std::max(retry_at_estimate, candidate.health.reconnect_at());
+        if (const auto share = rate_shares_.find(number);
+            candidate.rate_limit && share != rate_shares_.end())
+            retry_at_estimate = std::max(
+                retry_at_estimate,
+                share->second.earliest_retry(
+                    share_of_rate(candidate, fleet), now));
         const auto window = cold_windows_.find(number);
         if (candidate.cold(now) && service.cold_rate > 0 &&
             window != cold_windows_.end()) {
@@ -120,8 +165,19 @@
     return earliest == time_point::max() ? now + no_replica_wait : earliest;
 }
 
+bool replica_selector::is_share_used_up(
+    const replica& candidate, const fleet_view& fleet, time_point now) const
+{
+    const auto share = rate_shares_.find(candidate.number);
+    return candidate.rate_limit && share != rate_shares_.end() &&
+           share->second.earliest_retry(share_of_rate(candidate, fleet), now) >
+               now;
+}
+
 unusable_replicas replica_selector::count_unusable(
-    const forward_service& service, time_point now) const
+    const forward_service& service,
+    const fleet_view& fleet,
+    time_point now) const
 {
     unusable_replicas counted;
     for (const auto number : catalog_->of_service(service.name)) {
@@ -132,6 +188,8 @@
             ++counted.paused;
         else if (candidate.health.unreachable(now))
             ++counted.unreachable;
+        else if (is_share_used_up(candidate, fleet, now))
+            ++counted.rate_limited;
     }
     return counted;
 }
@@ -177,7 +235,7 @@
                 return a.cost < b.cost;
             });
         const auto number = cheapest->number;
-        if (try_acquire_cold(catalog_->at(number), service, fleet, now))
+        if (try_acquire(catalog_->at(number), service, fleet, now))
             return number;
         options.erase(cheapest);
     }
--- a/core/tests/rate_limit_test.cpp
+++ b/core/tests/rate_limit_test.cpp
@@ -113,7 +113,7 @@
 
 // Guards against a replica that gets more requests than the rate that it named.
 TEST_CASE(
-    "rate limit: the requests of all instances stay within it", "[.rate_limit]")
+    "rate limit: the requests of all instances stay within it", "[rate_limit]")
 {
     for (const std::size_t size : {1U, 8U, 79U, 740U}) {
         for (const double limit : {0.0, 0.3, 4.0, 30.0, 400.0}) {
@@ -128,7 +128,7 @@
 }
 
 TEST_CASE(
-    "rate limit: instances that were idle do not send at once", "[.rate_limit]")
+    "rate limit: instances that were idle do not send at once", "[rate_limit]")
 {
     limited_fleet fleet{740};
     fleet.limit(30);
@@ -139,7 +139,7 @@
     CHECK(static_cast<double>(fleet.most()) <= most_in_span(30));
 }
 
-TEST_CASE("rate limit: it follows what the replica says", "[.rate_limit]")
+TEST_CASE("rate limit: it follows what the replica says", "[rate_limit]")
 {
     limited_fleet fleet{8};
     send_evenly(fleet, 300, start, seconds{8});
--- a/core/tests/replica_selector_test.cpp
+++ b/core/tests/replica_selector_test.cpp
@@ -160,5 +160,7 @@
     CHECK(
         shard.selector.earliest_retry(shard.service, shard.fleet, start) ==
         until);
-    CHECK(shard.selector.count_unusable(shard.service, start).paused == 3);
+    CHECK(
+        shard.selector.count_unusable(shard.service, shard.fleet, start)
+            .paused == 3);
 }
--- a/ctl/src/log_timeline.cpp
+++ b/ctl/src/log_timeline.cpp
@@ -30,19 +30,22 @@
     "domain_returned",
     "members_changed"};
 /// Events that change an instance's view of one replica.
-constexpr std::array<std::string_view, 4> replica_state_events{
+constexpr std::array<std::string_view, 6> replica_state_events{
     "upstream_published",
     "upstream_leaving",
     "upstream_paused",
+    "upstream_rate_limited",
+    "upstream_rate_limit_ended",
     "replica_ended"};
 
 /// Fields of `replicas_unusable`: replicas of the missing parts that got no
 /// attempt, by the reason.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 3>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 4>
     unusable_replica_fields{
         {{"excluded", "draining, leaving or in a domain that is out"},
          {"paused", "that had asked for a pause by Retry-After"},
-         {"unreachable", "that could not be connected to"}}};
+         {"unreachable", "that could not be connected to"},
+         {"rate_limited", "whose rate limit was used up"}}};
 
 template<std::size_t Size>
 bool any_of(
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -383,7 +383,9 @@
 void forward_operation::log_unusable_replicas(time_point now) const
 {
     const auto unusable = request_.count_unusable(owner_->context(), now);
-    if (unusable.excluded + unusable.paused + unusable.unreachable == 0)
+    if (unusable.excluded + unusable.paused + unusable.unreachable +
+            unusable.rate_limited ==
+        0)
         return;
     owner_->log_->write(
         now,
@@ -392,7 +394,8 @@
         {{"request", request_id_},
          {"excluded", unusable.excluded},
          {"paused", unusable.paused},
-         {"unreachable", unusable.unreachable}});
+         {"unreachable", unusable.unreachable},
+         {"rate_limited", unusable.rate_limited}});
 }
 
 void forward_operation::abandon()
--- a/gateway/tests/upstream_notice_test.cpp
+++ b/gateway/tests/upstream_notice_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,7 @@
     {
         names.leaving = "X-Leaving";
         names.not_run = "X-Not-Run";
+        names.rate_limit = "X-Limit";
         REQUIRE(listener_.open({"127.0.0.1", replica_port}));
         publish("r", 1);
     }
@@ -201,3 +203,34 @@
         CHECK(replica.pool.wants_requests(0));
     }
 }
+
+TEST_CASE("pool: a rate limit holds while the upstream names it", "[notice]")
+{
+    answering_replica replica;
+    std::vector<std::optional<double>> reported;
+    replica.pool.on_rate_limit = [&](auto, auto named) {
+        reported.push_back(named);
+    };
+    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+    const auto limit_after = [&](std::string head) {
+        replica.answer_head = std::move(head);
+        REQUIRE(owner->send(replica, 0));
+        replica.run();
+        return replica.catalog.at(0).rate_limit;
+    };
+    CHECK(limit_after("HTTP/1.1 200 OK\r\nX-Limit: 30.5\r\n") == 30.5);
+    CHECK(limit_after("HTTP/1.1 200 OK\r\nX-Limit: 2\r\n") == 2.0);
+    for (const char* head :
+         {"HTTP/1.1 200 OK\r\nX-Limit: many\r\n",
+          "HTTP/1.1 200 OK\r\nX-Limit: -1\r\n",
+          "HTTP/1.1 200 OK\r\nX-Limit: inf\r\n",
+          "HTTP/1.1 200 OK\r\nX-Limit: \r\n",
+          "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n",
+          "HTTP/1.1 421 Misdirected\r\n"}) {
+        INFO(head);
+        CHECK(limit_after(head) == 2.0);
+    }
+    CHECK(limit_after("HTTP/1.1 200 OK\r\nX-Limit: 0\r\n") == 0.0);
+    CHECK(limit_after("HTTP/1.1 200 OK\r\n") == std::nullopt);
+    CHECK(reported == std::vector<std::optional<double>>{30.5, std::nullopt});
+}
