core, gateway: instances pass on what they leave of a replica's rate limit

Cause: a fixed share of a rate limit is lost where an instance has fewer requests than its share; with 740 instances and a limit of 30 a second most have none, and an instance without a share never hears that the limit has ended.

Change: an instance that has used its share asks two holders of shares for what they leave, at intervals that grow while it gets nothing, and renews grants in use. The one that grants goes without for the term and the window, so the sum holds whatever message is lost. Requests carry the limit, so that an instance that sends nothing there can grant; who hears the end tells those with whom it exchanged requests. The messages are two new ones of the gossip protocol.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -39,6 +39,8 @@
     /// Requests a second that the replica takes from all instances together, as
     /// its last answer said.
     std::optional<double> rate_limit;
+    /// Whether its last answer named no limit after an earlier one had.
+    bool rate_limit_ended = false;
     /// Whether another upstream has the address: this one has ended, or will
     /// publish itself again.
     bool address_taken = false;
@@ -115,6 +117,9 @@
     /// \brief Excludes or readmits all upstreams of a failure domain.
     void set_domain_excluded(std::string_view domain, bool excluded);
 
+    /// \returns The live replica with this id.
+    [[nodiscard]] std::optional<replica_number> find(std::string_view id) const;
+
     /// \returns The live replicas of `service`; empty for an unknown service.
     [[nodiscard]] const std::vector<replica_number>&
     of_service(std::string_view service) const;
--- a/core/include/peridotward/core/membership/peer_message.hpp
+++ b/core/include/peridotward/core/membership/peer_message.hpp
@@ -242,6 +242,29 @@
     std::string bytes;
 };
 
+/// \brief Asks an instance for requests of its share of a replica's rate limit.
+struct rate_share_request
+{
+    std::uint64_t sequence = 0;
+    std::string replica; ///< Id of the replica.
+    /// Requests within `rate_share::window` beyond those already granted; 0
+    /// renews these.
+    std::uint32_t wanted = 0;
+    /// The limit as the sender knows it, in thousandths of a request a second.
+    std::uint64_t limit_milli = 0;
+};
+
+/// \brief Answers a `rate_share_request`.
+struct rate_share_grant
+{
+    std::uint64_t sequence = 0;
+    std::string replica;
+    /// All requests within `rate_share::window` that the receiver now has from
+    /// the sender; 0 if the sender renews and grants none.
+    std::uint32_t granted = 0;
+    bool limited = true; ///< False: the replica has ceased to name a limit.
+};
+
 /// \brief All messages between instances.
 using peer_message = std::variant<
     probe,
@@ -256,7 +279,9 @@
     record_reply,
     upstream_report_batch,
     config_fetch,
-    config_part>;
+    config_part,
+    rate_share_request,
+    rate_share_grant>;
 
 /// \brief A message and the id of the instance to send it to.
 struct outgoing_message
--- a/core/include/peridotward/core/placement/replica_selector.hpp
+++ b/core/include/peridotward/core/placement/replica_selector.hpp
@@ -22,6 +22,7 @@
     /// Instances published to callers, which send most of the requests.
     std::uint32_t senders = 1;
     bool sends = true; ///< Whether this instance is one of the senders.
+    std::uint64_t revision = 0; ///< Differs when `others` differ.
 };
 
 /// \brief Replicas that get no request now, by the reason.
@@ -97,6 +98,14 @@
     /// not sent, so that another one may be sent instead.
     void release(replica_number number, time_point chosen_at) noexcept;
 
+    /// \returns This instance's share of the rate limit that the replica names,
+    /// in requests within `rate_share::window`.
+    [[nodiscard]] std::uint32_t
+    share_of_rate(const replica& candidate, const fleet_view& fleet) const;
+
+    /// \returns By replica: the use of its rate limit, also of ended ones.
+    [[nodiscard]] auto& rate_shares() noexcept { return rate_shares_; }
+
     /// \returns When a request to `service` may next be served; an estimate
     /// where that depends on replicas.
     [[nodiscard]] time_point earliest_retry(
@@ -122,13 +131,19 @@
         time_point now) const;
 
 private:
+    /// A share, and what it was computed from: ranking a large fleet for each
+    /// request would cost more than the rest of the choice.
+    struct known_share
+    {
+        double per_second;
+        std::uint64_t fleet_revision;
+        std::uint32_t share;
+    };
+
     /// Adds the request to the mean of its service; returns the cost of a
     /// queued request.
     [[nodiscard]] double update_queued_request_cost(
         const std::string& service, duration typical_latency);
-    /// \returns This instance's share of the rate limit that the replica names.
-    [[nodiscard]] std::uint32_t
-    share_of_rate(const replica& candidate, const fleet_view& fleet) const;
     [[nodiscard]] bool is_share_used_up(
         const replica& candidate,
         const fleet_view& fleet,
@@ -152,6 +167,7 @@
     random_source* random_;
     std::unordered_map<replica_number, cold_window> cold_windows_;
     std::unordered_map<replica_number, rate_share> rate_shares_;
+    mutable std::unordered_map<replica_number, known_share> known_shares_;
     /// By service: mean of the typical latencies of its requests, in seconds.
     std::unordered_map<std::string, double> mean_typical_latency_;
 };
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -195,6 +195,14 @@
         excluded_.erase(found);
 }
 
+std::optional<replica_number> upstream_catalog::find(std::string_view id) const
+{
+    const auto found = by_id_.find(std::string{id});
+    if (found == by_id_.end())
+        return std::nullopt;
+    return found->second;
+}
+
 const std::vector<replica_number>&
 upstream_catalog::of_service(std::string_view service) const
 {
--- a/core/src/placement/replica_selector.cpp
+++ b/core/src/placement/replica_selector.cpp
@@ -71,11 +71,17 @@
 std::uint32_t replica_selector::share_of_rate(
     const replica& candidate, const fleet_view& fleet) const
 {
-    return rate_share::of(
-        *candidate.rate_limit,
-        candidate.published.id,
-        fleet.self,
-        fleet.others);
+    const double per_second = *candidate.rate_limit;
+    const auto [found, added] = known_shares_.try_emplace(candidate.number);
+    auto& known = found->second;
+    if (added || known.per_second != per_second ||
+        known.fleet_revision != fleet.revision)
+        known = {
+            per_second,
+            fleet.revision,
+            rate_share::of(
+                per_second, candidate.published.id, fleet.self, fleet.others)};
+    return known.share;
 }
 
 bool replica_selector::try_acquire_rate(
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/core/admission/retry_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
+#include <peridotward/core/placement/rate_share_exchange.hpp>
 #include <peridotward/core/routing/weighted_round_robin.hpp>
 #include <peridotward/gateway/counters.hpp>
 #include <peridotward/gateway/event_log.hpp>
@@ -10,8 +11,11 @@
 #include <peridotward/gateway/http_session.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace peridotward {
 
@@ -46,6 +50,12 @@
     /// \brief Sets the view of the other instances; `fleet.self` is ignored.
     void set_fleet(fleet_view fleet);
 
+    /// \brief Handles a message of another instance.
+    void on_peer_message(std::string_view from, const peer_message& message);
+
+    /// Called with the messages for other instances.
+    std::function<void(std::vector<outgoing_message>)> send_to_peers;
+
     /// \brief Applies the retry and cold-start limits of the changed settings.
     void apply_settings();
 
@@ -77,6 +87,12 @@
         milliseconds retry_after = {});
     [[nodiscard]] retry_schedule&
     retry_schedule_of(const forwarded_request& request);
+    /// \param source What said it: `answer`, or the instance that told this
+    /// one.
+    void log_rate_limit(
+        replica_number number,
+        std::optional<double> per_second,
+        std::string_view source);
     void log_retry_budgets(time_point now);
     [[nodiscard]] forward_context context() noexcept
     {
@@ -91,6 +107,7 @@
     random_source random_;
     upstream_catalog catalog_;
     replica_selector replica_selector_;
+    rate_share_exchange rate_share_exchange_;
     retry_budgets retry_budgets_;
     fleet_view fleet_;
     upstream_pool pool_;
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -8,14 +8,14 @@
 /// \brief Names of the platform's header fields, by their meaning.
 struct header_names
 {
-    std::string request_id;      ///< Id of one attempt of a caller.
-    std::string time_left;       ///< Milliseconds that the sender still waits.
-    std::string expected_id;     ///< Upstream to which a request is sent.
-    std::string upstream_id;     ///< Upstream that answers.
-    std::string signature;       ///< Upstream's signature of its answer.
-    std::string load;            ///< `running,waiting,slots` of an upstream.
-    std::string not_run;         ///< The upstream did not run the request.
-    std::string cold_left;       ///< Remaining milliseconds of a cold start.
+    std::string request_id;  ///< Id of one attempt of a caller.
+    std::string time_left;   ///< Milliseconds that the sender still waits.
+    std::string expected_id; ///< Upstream to which a request is sent.
+    std::string upstream_id; ///< Upstream that answers.
+    std::string signature;   ///< Upstream's signature of its answer.
+    std::string load;        ///< `running,waiting,slots` of an upstream.
+    std::string not_run;     ///< The upstream did not run the request.
+    std::string cold_left;   ///< Remaining milliseconds of a cold start.
     /// Requests a second that an upstream takes from all instances together.
     std::string rate_limit;
     std::string leaving;         ///< `1`: the upstream that answers is leaving.
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -53,6 +53,9 @@
     /// \brief Announces the load of this instance.
     void set_load(member_load load);
 
+    /// \brief Sends messages that aren't part of the membership protocol.
+    void send(std::vector<outgoing_message> messages);
+
     /// \returns All instances that serve callers, including this one.
     [[nodiscard]] std::vector<instance_candidate> serving() const;
 
@@ -70,6 +73,9 @@
         return bad_frames_;
     }
 
+    /// Called with each message that isn't part of the membership protocol.
+    std::function<void(std::string_view from, const peer_message&)> on_message;
+
     /// Called after each membership change.
     std::function<void()> on_change;
 
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -80,6 +80,7 @@
       random_{seed},
       replica_selector_{
           catalog_, settings.cold_starts, settings.domain, random_},
+      rate_share_exchange_{catalog_, replica_selector_, random_},
       retry_budgets_{settings.retries},
       pool_{loop, catalog_, names}
 {
@@ -97,17 +98,7 @@
              {"source", "answer"}});
     };
     pool_.on_rate_limit = [this](replica_number number, auto per_second) {
-        const auto& published = catalog_.at(number).published;
-        stats_->count("upstream_rate_limits_total");
-        log_->write(
-            loop_->now(),
-            event_severity::notable,
-            per_second ? "upstream_rate_limited" : "upstream_rate_limit_ended",
-            {{"replica", published.id},
-             {"service", published.service},
-             {"source", "answer"},
-             {"per_minute",
-              static_cast<std::uint64_t>(per_second.value_or(0) * 60)}});
+        log_rate_limit(number, per_second, "answer");
     };
     pool_.on_pause = [this](replica_number number, milliseconds pause) {
         const auto& published = catalog_.at(number).published;
@@ -149,11 +140,57 @@
 void forwarder::set_fleet(fleet_view fleet)
 {
     fleet.self = fleet_.self;
+    fleet.revision = fleet_.revision + 1;
     fleet_ = std::move(fleet);
     retry_budgets_.instances(
         static_cast<std::uint32_t>(fleet_.others.size()) + 1);
 }
 
+void forwarder::log_rate_limit(
+    replica_number number,
+    std::optional<double> per_second,
+    std::string_view source)
+{
+    const auto& published = catalog_.at(number).published;
+    stats_->count("upstream_rate_limits_total");
+    log_->write(
+        loop_->now(),
+        event_severity::notable,
+        per_second ? "upstream_rate_limited" : "upstream_rate_limit_ended",
+        {{"replica", published.id},
+         {"service", published.service},
+         {"source", source},
+         {"per_minute",
+          static_cast<std::uint64_t>(per_second.value_or(0) * 60)}});
+}
+
+void forwarder::on_peer_message(
+    std::string_view from, const peer_message& message)
+{
+    const auto now = loop_->now();
+    const auto limit_of = [this](const std::string& id) {
+        const auto number = catalog_.find(id);
+        return number ? catalog_.at(*number).rate_limit : std::nullopt;
+    };
+    std::string replica;
+    std::optional<double> before;
+    std::vector<outgoing_message> answers;
+    if (const auto* request = std::get_if<rate_share_request>(&message)) {
+        replica = request->replica;
+        before = limit_of(replica);
+        rate_share_exchange_.on_message(from, *request, fleet_, now, answers);
+    }
+    else if (const auto* grant = std::get_if<rate_share_grant>(&message)) {
+        replica = grant->replica;
+        before = limit_of(replica);
+        rate_share_exchange_.on_message(from, *grant);
+    }
+    if (const auto after = limit_of(replica); after != before)
+        log_rate_limit(*catalog_.find(replica), after, from);
+    if (!answers.empty())
+        send_to_peers(std::move(answers));
+}
+
 void forwarder::apply_settings()
 {
     retry_budgets_.bounds(settings_->retries);
@@ -285,6 +322,10 @@
 void forwarder::check(time_point now)
 {
     log_retry_budgets(now);
+    std::vector<outgoing_message> requests;
+    rate_share_exchange_.poll(fleet_, now, requests);
+    if (!requests.empty() && send_to_peers)
+        send_to_peers(std::move(requests));
     pool_.check(now);
     for (const auto ended : catalog_.expire(now)) {
         pool_.remove_replica(ended);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -174,6 +174,12 @@
         {{"callers", listen.callers.text()},
          {"domain", impl.settings.domain},
          {"store", impl.settings.store.text()}});
+    impl.peers.on_message = [this](std::string_view from, const auto& message) {
+        impl_->forwarding.on_peer_message(from, message);
+    };
+    impl.forwarding.send_to_peers = [this](auto messages) {
+        impl_->peers.send(std::move(messages));
+    };
     impl.peers.on_change = [this] { impl_->on_members_changed(); };
     return impl.callers_listener.open(listen.callers)
         .and_then([&] { return impl.ready_listener.open(listen.ready); })
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -6,7 +6,9 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -116,6 +118,15 @@
     send_messages();
 }
 
+void peer_gossip::send(std::vector<outgoing_message> messages)
+{
+    std::move(
+        messages.begin(),
+        messages.end(),
+        std::back_inserter(outgoing_messages_));
+    send_messages();
+}
+
 void peer_gossip::on_timeout()
 {
     members_.on_timeout(loop_->now(), outgoing_messages_);
@@ -177,6 +188,10 @@
         members_.on_message(from, *ack, now, outgoing_messages_);
     else if (const auto* indirect_probe = std::get_if<probe_request>(&*message))
         members_.on_message(from, *indirect_probe, now, outgoing_messages_);
+    else if (
+        on_message && (std::holds_alternative<rate_share_request>(*message) ||
+                       std::holds_alternative<rate_share_grant>(*message)))
+        on_message(from, *message);
     else
         ++bad_frames_;
     if (members_.superseded())
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -287,7 +287,8 @@
 
 void upstream_connection::record_rate_limit()
 {
-    auto& current = pool_->catalog().at(replica_).rate_limit;
+    auto& replica = pool_->catalog().at(replica_);
+    auto& current = replica.rate_limit;
     const auto text = answer_.fields.find(pool_->names().rate_limit);
     // A refusal may come from a part of the upstream that knows no limit.
     if (!text && answer_.fields.find(pool_->names().not_run))
@@ -297,6 +298,8 @@
         return;
     const bool changed = named.has_value() != current.has_value();
     current = named;
+    if (changed)
+        replica.rate_limit_ended = !named;
     if (changed && pool_->on_rate_limit)
         pool_->on_rate_limit(replica_, named);
 }
--- a/instance/src/fleet/fleet_runner.cpp
+++ b/instance/src/fleet/fleet_runner.cpp
@@ -23,6 +23,8 @@
         "peer_sent_upstream_news",
         "peer_sent_config_fetch",
         "peer_sent_config_part",
+        "peer_sent_rate_share_request",
+        "peer_sent_rate_share_grant",
     };
 
 member_update
--- a/wire/src/message_fields.hpp
+++ b/wire/src/message_fields.hpp
@@ -261,4 +261,26 @@
     };
 };
 
+template<>
+struct message_fields<rate_share_request>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &rate_share_request::sequence},
+        message_field{"replica", &rate_share_request::replica},
+        message_field{"wanted", &rate_share_request::wanted},
+        message_field{"limit_milli", &rate_share_request::limit_milli},
+    };
+};
+
+template<>
+struct message_fields<rate_share_grant>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &rate_share_grant::sequence},
+        message_field{"replica", &rate_share_grant::replica},
+        message_field{"granted", &rate_share_grant::granted},
+        message_field{"limited", &rate_share_grant::limited},
+    };
+};
+
 } // namespace peridotward
