gateway: a message that never ends in a chunk's line or a trailer is given up

An upstream, or a caller, that sends such bytes without end was read until its deadline: at the speed of a link that is the memory of the instance.

Cause: the parser limits the head and the data of a body; of the line of a chunk (its size, its extension) and of a trailer it takes nothing until they are whole, and bytes between chunks aren't counted.

Change: what the parser leaves unread is limited like a head, and a message takes at most twice the limit of its body.

--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -80,6 +80,14 @@
     body_too_large,
 };
 
+/// \brief Size of a message that is being read.
+struct message_size
+{
+    std::size_t max_head_bytes = 0; ///< Also of a chunk's line and a trailer.
+    std::size_t max_body_bytes = 0;
+    std::size_t consumed = 0;
+};
+
 /// \brief Incremental parser of one request.
 class request_reader final : public boost::beast::http::basic_parser<true>
 {
@@ -121,12 +129,16 @@
     void on_finish_impl(error_code&) override {}
 
     request_message* message_;
+    message_size size_;
 };
 
 /// \brief Incremental parser of one answer.
 class response_reader final : public boost::beast::http::basic_parser<false>
 {
 public:
+    /// Max size of the status line and the fields.
+    static constexpr std::uint32_t max_header_bytes = 8192;
+
     /// \param bodiless Whether the answer belongs to a HEAD request.
     response_reader(
         response_message& message, std::size_t max_body_bytes, bool bodiless);
@@ -170,6 +182,7 @@
     void on_finish_impl(error_code&) override {}
 
     response_message* message_;
+    message_size size_;
 };
 
 } // namespace peridotward
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -33,7 +33,7 @@
 }
 
 template<class Parser>
-read_state parse_input(Parser& parser, std::string& input)
+read_state parse_input(Parser& parser, message_size& size, std::string& input)
 {
     std::size_t consumed = 0;
     boost::beast::error_code error;
@@ -53,7 +53,17 @@
     input.erase(0, consumed);
     if (error)
         return state_of(error);
-    return parser.is_done() ? read_state::complete : read_state::incomplete;
+    if (parser.is_done())
+        return read_state::complete;
+    size.consumed += consumed;
+    // The parser limits neither the line of a chunk nor a trailer, of which it
+    // consumes nothing before the end.
+    if (input.size() > size.max_head_bytes)
+        return read_state::header_too_large;
+    // Bytes around chunks may be as many as those in them.
+    if (size.consumed > size.max_head_bytes + 2 * size.max_body_bytes)
+        return read_state::body_too_large;
+    return read_state::incomplete;
 }
 
 } // namespace
@@ -105,7 +115,7 @@
     request_message& message,
     std::size_t max_header_bytes,
     std::size_t max_body_bytes)
-    : message_{&message}
+    : message_{&message}, size_{max_header_bytes, max_body_bytes}
 {
     message.method.clear();
     message.target.clear();
@@ -119,7 +129,7 @@
 
 read_state request_reader::consume(std::string& input)
 {
-    return parse_input(*this, input);
+    return parse_input(*this, size_, input);
 }
 
 void request_reader::on_request_impl(
@@ -164,12 +174,13 @@
 
 response_reader::response_reader(
     response_message& message, std::size_t max_body_bytes, bool bodiless)
-    : message_{&message}
+    : message_{&message}, size_{max_header_bytes, max_body_bytes}
 {
     message.status = 0;
     message.reason.clear();
     message.fields.clear();
     message.body.clear();
+    header_limit(max_header_bytes);
     body_limit(max_body_bytes);
     eager(true);
     skip(bodiless);
@@ -177,7 +188,7 @@
 
 read_state response_reader::consume(std::string& input)
 {
-    return parse_input(*this, input);
+    return parse_input(*this, size_, input);
 }
 
 read_state response_reader::consume_end()
