gateway: incomplete answers of upstreams together stay within 32 MB

Upstreams whose bodies never end could use up the memory of an instance, which ends the process and all requests in it.

Cause: each answer was limited (16 MB), all together were not: 36 connections to a replica, or one each to some of them, are more than the memory of the smallest instances (160 MB). A body without a stated length had the same limit as one whose length is known from the head.

Change: the pool counts what it buffers of incomplete answers and gives up the largest beyond 32 MB; a body without a stated length ends at 4 MB. Connections keep no large buffer when they are idle.

Result: endless_upstream_test. With the new limit taken out 40 endless answers buffer more than the bound of 32 MB; with it they don't, all 40 end as broken before their deadline. Five kinds of endless bytes from a replica end that way; an answer of 12 MB with a stated length is received.

--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -138,6 +138,8 @@
 public:
     /// Max size of the status line and the fields.
     static constexpr std::uint32_t max_header_bytes = 8192;
+    /// Max size of a body whose length the head doesn't state.
+    static constexpr std::size_t max_unsized_body_bytes = 4U << 20U;
 
     /// \param bodiless Whether the answer belongs to a HEAD request.
     response_reader(
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -57,6 +57,12 @@
     /// request has passed.
     [[nodiscard]] bool overdue(time_point now) const noexcept;
 
+    /// \brief Closes the connection and reports its open request as broken.
+    void give_up() { on_connection_end(false); }
+
+    /// \returns The size of the incomplete answer.
+    [[nodiscard]] std::size_t buffered() const noexcept { return buffered_; }
+
     /// \brief Closes an overdue connection and reports its open request.
     void expire();
 
@@ -95,6 +101,7 @@
     void parse();
     void on_connection_end(bool orderly);
     void on_answer();
+    void set_buffered(std::size_t bytes) noexcept;
     void record_answer_fields();
     void record_rate_limit();
     void record_pause();
@@ -117,6 +124,7 @@
     response_message answer_;
     std::optional<response_reader> reader_;
     std::uint32_t mismatched_answers_ = 0;
+    std::size_t buffered_ = 0;
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -26,6 +26,9 @@
     /// Requests that may run at most once use no connection that was idle for
     /// longer: the replica may have dropped it without notice.
     static constexpr milliseconds max_recent_idle{1000};
+    /// Max size of all incomplete answers together; the largest one is given up
+    /// beyond that. A fifth of the memory of the smallest instances.
+    static constexpr std::size_t max_buffered_bytes = 32U << 20U;
 
     upstream_pool(
         reactor& loop, upstream_catalog& catalog, const header_names& names)
@@ -81,6 +84,22 @@
     /// \returns The number of queued requests.
     [[nodiscard]] std::size_t waiting_count() const;
 
+    /// \brief Updates the size of the incomplete answer of one connection.
+    void on_buffered(std::size_t before, std::size_t now) noexcept
+    {
+        buffered_bytes_ += now - before;
+    }
+
+    /// \brief Gives up the largest incomplete answers while all together exceed
+    /// `max_buffered_bytes`.
+    void limit_buffered();
+
+    /// \returns The size of all incomplete answers.
+    [[nodiscard]] std::size_t buffered_bytes() const noexcept
+    {
+        return buffered_bytes_;
+    }
+
     /// \returns The number of connections opened since the start.
     [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
 
@@ -120,6 +139,7 @@
     /// causes another `send` that adds a replica.
     std::deque<replica_connections> connections_;
     std::uint64_t opened_ = 0;
+    std::size_t buffered_bytes_ = 0;
 };
 
 } // namespace peridotward
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -216,6 +216,11 @@
 void response_reader::on_header_impl(error_code&)
 {
     message_->keep_alive = keep_alive();
+    if (!content_length()) {
+        size_.max_body_bytes =
+            std::min(size_.max_body_bytes, max_unsized_body_bytes);
+        body_limit(size_.max_body_bytes);
+    }
 }
 
 std::size_t response_reader::on_body_impl(string_view body, error_code&)
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -186,6 +186,15 @@
     }
     input_.append(buffer.data(), static_cast<std::size_t>(received));
     parse();
+    if (phase_ == phase::busy) {
+        set_buffered(input_.size() + answer_.body.size());
+        pool_->limit_buffered();
+    }
+}
+
+void upstream_connection::set_buffered(std::size_t bytes) noexcept
+{
+    pool_->on_buffered(std::exchange(buffered_, bytes), bytes);
 }
 
 void upstream_connection::parse()
@@ -245,6 +254,7 @@
                           answer_.status != misdirected_request;
     record_answer_fields();
     const auto outcome = outcome_of_answer();
+    set_buffered(0);
     if (reusable) {
         phase_ = phase::idle;
         idle_since_ = pool_->loop().now();
@@ -254,6 +264,8 @@
     else
         close();
     report(outcome, &answer_);
+    if (answer_.body.capacity() > read_bytes)
+        std::string{}.swap(answer_.body);
 }
 
 void upstream_connection::record_answer_fields()
@@ -378,6 +390,7 @@
     if (phase_ == phase::closed)
         return;
     phase_ = phase::closed;
+    set_buffered(0);
     if (is_linked())
         unlink();
     if (socket_) {
