core: attempts that the end of a request discards are not in flight

A replica counted as busy for good, got fewer requests and no hedge: the longer an instance ran, the more.

Cause: a retry or hedge that starts in the same step in which the request ends (its answer deadline, or the time for late parts, has just passed) is dropped before it is sent, and never gets a result. It stayed in the replica's count of requests in flight, in the retry budget and in the share of a rate limit.

Evidence: the new test failed before: 1 in flight after the end, and 1 of the budget gone. Now 0, and none.

Change: the end of a request gives back what its unsent attempts hold; the case of a request that can't begin uses the same.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -276,8 +276,11 @@
     /// \returns Until when a late request waits for missing parts.
     [[nodiscard]] time_point late_deadline() const noexcept;
     /// \brief Ends the request if its result is determined.
-    void finish_if_due(time_point now, forward_actions& out);
-    void finish(forward_end end, forward_actions& out);
+    void finish_if_due(
+        const forward_context& context, time_point now, forward_actions& out);
+    /// \brief Ends the request and discards the sends in `out`.
+    void finish(
+        forward_end end, const forward_context& context, forward_actions& out);
     /// \returns `not_run` if no replica ran or may still run any part,
     /// otherwise `failed`.
     [[nodiscard]] forward_end failure_kind() const noexcept;
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -96,9 +96,20 @@
     return total;
 }
 
-void forwarded_request::finish(forward_end end, forward_actions& out)
+void forwarded_request::finish(
+    forward_end end, const forward_context& context, forward_actions& out)
 {
     ended_ = true;
+    for (const auto& discarded : out.sends) {
+        auto& attempt = attempts_[discarded.attempt];
+        attempt.open = false;
+        --parts_[attempt.part].open;
+        context.catalog->at(attempt.to).health.on_cancelled();
+        context.selector->release(attempt.to, attempt.sent_at);
+        if (attempt.extra)
+            context.budgets->refund(
+                service(attempt.part).name, attempt.sent_at);
+    }
     out.sends.clear();
     out.end = end;
 }
@@ -172,14 +183,8 @@
             give_up(part);
     }
     // Nothing was sent yet, so it is certain that no part was run.
-    if (has_failed()) {
-        for (auto& unsent : attempts_) {
-            unsent.open = false;
-            context.selector->release(unsent.to, now);
-            context.catalog->at(unsent.to).health.on_cancelled();
-        }
-        finish(forward_end::not_run, out);
-    }
+    if (has_failed())
+        finish(forward_end::not_run, context, out);
 }
 
 void forwarded_request::retry(
@@ -287,7 +292,7 @@
         return false;
     if (outcome != forward_outcome::answered) {
         retry(ended.part, context, profile, now, out);
-        finish_if_due(now, out);
+        finish_if_due(context, now, out);
         return false;
     }
     part.answered = true;
@@ -302,7 +307,7 @@
             context.catalog->at(other.to).health.on_hedge_won(
                 now - other.sent_at, profile.median(), now);
     }
-    finish_if_due(now, out);
+    finish_if_due(context, now, out);
     return true;
 }
 
@@ -325,18 +330,19 @@
             now >= times_.answer_deadline);
 }
 
-void forwarded_request::finish_if_due(time_point now, forward_actions& out)
+void forwarded_request::finish_if_due(
+    const forward_context& context, time_point now, forward_actions& out)
 {
     if (ended_)
         return;
     if (answered_ == parts_.size())
-        finish(forward_end::complete, out);
+        finish(forward_end::complete, context, out);
     else if (has_failed())
-        finish(failure_kind(), out);
+        finish(failure_kind(), context, out);
     else if (is_partial_due(now))
-        finish(forward_end::partial, out);
+        finish(forward_end::partial, context, out);
     else if (now >= times_.answer_deadline)
-        finish(forward_end::timed_out, out);
+        finish(forward_end::timed_out, context, out);
     full_value_passed_ = full_value_passed_ || now >= times_.full_value_until;
     late_deadline_passed_ = now >= late_deadline();
 }
@@ -347,7 +353,7 @@
     time_point now,
     forward_actions& out)
 {
-    finish_if_due(now, out);
+    finish_if_due(context, now, out);
     if (ended_)
         return;
     for (std::uint32_t part = 0; part < parts_.size(); ++part) {
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -420,6 +420,28 @@
         start + seconds{1});
 }
 
+// Guards against replicas that count as busy for good: a request that ends
+// discards the attempts that it has just started.
+TEST_CASE(
+    "forwarding: an attempt that the end of the request discards is not in "
+    "flight",
+    "[forwarding]")
+{
+    forward_fixture fixture{1, 2, idempotent(2)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    const auto budget = fixture.budgets.remaining("s0", start);
+    // The retry starts when the request is overdue.
+    fixture.out.clear();
+    fixture.result(
+        request, 0, forward_outcome::refused, start + milliseconds{590});
+    REQUIRE(fixture.out.end == forward_end::timed_out);
+    CHECK(fixture.out.sends.empty());
+    for (const auto number : fixture.catalog.of_service("s0"))
+        CHECK(fixture.catalog.at(number).health.in_flight() == 0);
+    CHECK(fixture.budgets.remaining("s0", start) == budget);
+}
+
 // Guards against attempts that arrive, uncharged, at the upstream that now has
 // the address of a lost replica.
 TEST_CASE(
