core: of two upstreams with one address and one time of start the later era's has it

Found with a fleet whose upstreams all have the same address and time of start: after the store came back from a copy, a new upstream was taken for the earlier one and excluded. Equal times of start say nothing; then the era decides. The new section of discovery_test failed before.

--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -13,7 +13,7 @@
 {
     if (a.position.era == b.position.era)
         return a.position.revision > b.position.revision;
-    if (a.start_id != 0 && b.start_id != 0)
+    if (a.start_id != 0 && b.start_id != 0 && a.start_id != b.start_id)
         return a.start_id > b.start_id;
     return a.position.era > b.position.era;
 }
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -410,6 +410,19 @@
             CHECK(is_excluded(1));
         }
     }
+    SECTION("published after the store came back from a copy")
+    {
+        catalog.publish(in_era(1, 80, "a"), start);
+        other.position = {2, 40};
+        SECTION("by a start at another time")
+        {
+            other.start_id = 8;
+        }
+        SECTION("with the same time of start") {}
+        catalog.publish(other, start);
+        CHECK(is_excluded(0));
+        CHECK_FALSE(is_excluded(1));
+    }
     SECTION("both in one listing, in any order")
     {
         catalog.replace({{other, in_era(1, 80, "a")}, {}}, start);
