soak, docs: replicas that name rate limits

A fifth series of faults: replicas name a limit of 1 to 15 a second for 6 to 10 s while instances are killed, paused and stopped; the requests of the instances that were told are checked.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -270,6 +270,21 @@
         release_replica(replica);
 }
 
+void soak_environment::limit_rate(random_source& random)
+{
+    const auto replica = reserve_replica(random);
+    const auto per_second = static_cast<double>(1 + random.below(15));
+    run_on_standin_thread([&] { replica->rate_limit = per_second; });
+    sleep_random(random, milliseconds{6000}, 4000);
+    run_on_standin_thread([&] {
+        // A limit of another height belongs to another start.
+        replica->rate_limit = 0;
+        ++replica->start_id;
+        replicas_.publish(*replica);
+    });
+    release_replica(replica);
+}
+
 void soak_environment::inject_fault(
     const std::vector<fault_kind>& kinds, random_source& random)
 {
@@ -331,6 +346,11 @@
     };
 }
 
+std::vector<fault_kind> soak_environment::rate_faults()
+{
+    return {{"rate limit", [&](auto& random) { limit_rate(random); }}};
+}
+
 void soak_environment::inject_faults(
     steady::time_point until,
     const std::vector<fault_kind>& kinds,
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -67,6 +67,12 @@
     notices_.push_back(std::move(record));
 }
 
+void invariant_checker::record_rate_limit(rate_limit_record record)
+{
+    const std::lock_guard lock{mutex_};
+    rate_limits_.push_back(std::move(record));
+}
+
 void invariant_checker::record_disturbance(disturbance span)
 {
     const std::lock_guard lock{mutex_};
@@ -180,6 +186,7 @@
     check_extra_attempts(violations);
     check_leaving(violations);
     check_pauses(violations);
+    check_rate_limits(violations);
     return violations;
 }
 
@@ -411,6 +418,68 @@
     }
 }
 
+void invariant_checker::check_rate_limits(
+    std::vector<std::string>& violations) const
+{
+    struct limited_span
+    {
+        double per_second;
+        steady::time_point from;
+        steady::time_point until;
+        /// By instance: when it was first told.
+        std::map<int, steady::time_point> told;
+    };
+    const auto by_id = attempts_with_ids();
+    std::map<std::string, limited_span> spans;
+    for (const auto& limit : rate_limits_) {
+        auto& span =
+            spans
+                .try_emplace(
+                    limit.replica_start,
+                    limited_span{limit.per_second, limit.at, limit.at, {}})
+                .first->second;
+        span.until = limit.at;
+        const auto found = by_id.find(limit.id);
+        if (found != by_id.end() && found->second->status == 200)
+            span.told.try_emplace(
+                found->second->instance, found->second->ended);
+    }
+    std::map<std::string, std::vector<steady::time_point>> counted;
+    for (const auto& arrival : arrivals_) {
+        const auto span = spans.find(arrival.replica_start);
+        const auto found = by_id.find(arrival.id);
+        if (span == spans.end() || found == by_id.end() ||
+            arrival.at > span->second.until ||
+            arrival.at < span->second.from + rate_limit_bound)
+            continue;
+        const int instance = found->second->instance;
+        const auto told = span->second.told.find(instance);
+        if (told != span->second.told.end() &&
+            arrival.at > told->second + rate_limit_notice &&
+            !is_interrupted(instance, span->second.from, arrival.at))
+            counted[arrival.replica_start].push_back(arrival.at);
+    }
+    for (auto& [replica, times] : counted) {
+        std::sort(times.begin(), times.end());
+        const double allowed =
+            rate_limit_factor * spans.at(replica).per_second *
+                std::chrono::duration<double>{rate_limit_span}.count() +
+            rate_limit_allowance;
+        for (auto first = times.begin(), last = first; last != times.end();
+             ++last) {
+            while (*last - *first >= rate_limit_span)
+                ++first;
+            if (static_cast<double>(last - first + 1) <= allowed)
+                continue;
+            violations.push_back(
+                std::to_string(last - first + 1) +
+                " requests within 4 s to the replica " + replica +
+                ", allowed " + std::to_string(allowed));
+            break;
+        }
+    }
+}
+
 void invariant_checker::check_extra_attempts(
     std::vector<std::string>& violations) const
 {
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -58,6 +58,15 @@
     milliseconds pause{};
 };
 
+/// A rate limit that a replica named in an answer.
+struct rate_limit_record
+{
+    std::string id;            ///< Of the answered request.
+    std::string replica_start; ///< Replica and start.
+    steady::time_point at;
+    double per_second = 0;
+};
+
 enum class disturbance_kind : std::uint8_t
 {
     connections, ///< To the store or to replicas, or the store itself.
@@ -95,6 +104,14 @@
     /// `max_requests_in_pause` may still arrive.
     static constexpr milliseconds pause_bound{500};
     static constexpr std::size_t max_requests_in_pause = 2;
+    /// From `rate_limit_bound` after a replica named a limit, it gets within
+    /// `rate_limit_span` at most the factor times the limit and the allowance,
+    /// from instances that it told `rate_limit_notice` before.
+    static constexpr milliseconds rate_limit_bound{4000};
+    static constexpr milliseconds rate_limit_span{4000};
+    static constexpr milliseconds rate_limit_notice{500};
+    static constexpr double rate_limit_factor = 1.5;
+    static constexpr double rate_limit_allowance = 5;
     /// Added to the end of a disturbance: an instance needs this long to
     /// regain contact with the others.
     static constexpr milliseconds recovery_allowance{4000};
@@ -108,6 +125,7 @@
     void record_execution(execution_record record);
     void record_arrival(arrival_record record);
     void record_notice(notice_record record);
+    void record_rate_limit(rate_limit_record record);
     void record_disturbance(disturbance span);
     /// Records that the evacuation of `domain` begins or ends now.
     void record_evacuation(const std::string& domain, bool begins);
@@ -155,12 +173,14 @@
     void check_extra_attempts(std::vector<std::string>& violations) const;
     void check_leaving(std::vector<std::string>& violations) const;
     void check_pauses(std::vector<std::string>& violations) const;
+    void check_rate_limits(std::vector<std::string>& violations) const;
 
     mutable std::mutex mutex_;
     std::vector<attempt_record> attempts_;
     std::vector<execution_record> executions_;
     std::vector<arrival_record> arrivals_;
     std::vector<notice_record> notices_;
+    std::vector<rate_limit_record> rate_limits_;
     std::vector<disturbance> disturbances_;
     std::vector<std::pair<
         std::string,
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -129,7 +129,8 @@
     // The series of faults run at the same time.
     std::vector<std::thread> series;
     std::uint64_t series_seed = seed;
-    for (auto kinds : {environment_faults(), store_faults(), notice_faults()})
+    for (auto kinds :
+         {environment_faults(), store_faults(), notice_faults(), rate_faults()})
         series.emplace_back([&, kinds, fault_seed = series_seed += 7] {
             inject_faults(until, kinds, fault_seed);
         });
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -89,6 +89,7 @@
     [[nodiscard]] std::vector<fault_kind> environment_faults();
     [[nodiscard]] std::vector<fault_kind> store_faults();
     [[nodiscard]] std::vector<fault_kind> notice_faults();
+    [[nodiscard]] std::vector<fault_kind> rate_faults();
     void
     inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
     void inject_faults(
@@ -107,6 +108,7 @@
     void return_store(random_source& random);
     void leave_by_answer(random_source& random);
     void pause_replicas(random_source& random);
+    void limit_rate(random_source& random);
 
     const soak_options* options_;
     run_addresses addresses_;
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -91,6 +91,8 @@
                  steady::now(),
                  replica->pause});
         }
+        if (replica->rate_limit > 0)
+            refusal.set("Server-Limit", std::to_string(replica->rate_limit));
         if (replica->leaving)
             refusal.set("Server-Leaving", "1");
         answer(std::move(refusal), {});
@@ -114,6 +116,11 @@
         checker_->record_notice(
             {id, replica->service, replica->start_name(), steady::now(), {}});
     }
+    if (replica->rate_limit > 0) {
+        response.set("Server-Limit", std::to_string(replica->rate_limit));
+        checker_->record_rate_limit(
+            {id, replica->start_name(), steady::now(), replica->rate_limit});
+    }
     response.set("Peridotward-Request-Id", id);
     response.set("Peridotward-Server-Stamp", id + "." + replica->service);
     response.set(
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -36,6 +36,8 @@
     /// Turns all requests away and asks for a pause of this length, if not
     /// zero.
     milliseconds pause{};
+    /// Requests a second that all answers name as a limit; 0 for none.
+    double rate_limit = 0;
     bool has_fault = false; ///< Another fault must leave the replica alone.
 
     [[nodiscard]] std::string start_name() const
