--- a/core/include/peridotward/core/budgets/rate_share.hpp
+++ b/core/include/peridotward/core/budgets/rate_share.hpp
@@ -29,6 +29,10 @@
 public:
     /// Span for which the rate is divided.
     static constexpr seconds window{4};
+    /// How long granted requests may be sent, from the request for them.
+    static constexpr seconds grant_term{8};
+    /// Remaining time of a grant at which it is renewed if it is in use.
+    static constexpr seconds renewal_margin{2};
 
     /// \returns The share of this instance in requests within `window`. One
     /// instance at least has a request, and so learns when the limit ends.
@@ -39,11 +43,6 @@
        std::string_view self,
        std::span<const std::string> others);
 
-    /// How long granted requests may be sent, from the request for them.
-    static constexpr seconds grant_term{8};
-    /// Remaining time of a grant at which it is renewed if it is in use.
-    static constexpr seconds renewal_margin{2};
-
     /// \returns The instances whose share isn't empty, among `instances`.
     [[nodiscard]] static std::vector<std::string> holders(
         double per_second,
@@ -66,9 +65,10 @@
     earliest_retry(std::uint32_t share, time_point now) const;
 
     /// \brief Grants requests that this instance leaves to `instance` and
-    /// renews those granted before. \returns All requests that `instance` now
-    /// has from this one; 0, and nothing is renewed, while this instance lacks
-    /// requests itself.
+    /// renews those granted before.
+    ///
+    /// \returns All requests that `instance` now has from this one; 0, and
+    /// nothing is renewed, while this instance lacks requests itself.
     [[nodiscard]] std::uint32_t grant(
         std::uint32_t share,
         std::string_view instance,
--- a/core/include/peridotward/core/placement/rate_share_exchange.hpp
+++ b/core/include/peridotward/core/placement/rate_share_exchange.hpp
@@ -4,6 +4,7 @@
 #include <peridotward/core/placement/replica_selector.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -49,6 +50,10 @@
 
     void on_message(std::string_view from, const rate_share_grant& message);
 
+    /// Called when `from` told of a limit, or of the end of one, that this
+    /// instance didn't know.
+    std::function<void(replica_number, std::string_view from)> on_limit_changed;
+
 private:
     struct open_request
     {
--- a/core/src/placement/rate_share_exchange.cpp
+++ b/core/src/placement/rate_share_exchange.cpp
@@ -93,8 +93,11 @@
         return;
     auto& target = catalog_->at(*number);
     // An instance that sends nothing there has not heard of the limit.
-    if (!target.rate_limit && !target.rate_limit_ended)
+    if (!target.rate_limit && !target.rate_limit_ended) {
         target.rate_limit = static_cast<double>(message.limit_milli) / 1000;
+        if (on_limit_changed)
+            on_limit_changed(*number, from);
+    }
     rate_share_grant answer{message.sequence, message.replica, 0, true};
     if (target.rate_limit)
         answer.granted = selector_->rate_shares()[*number].grant(
@@ -112,8 +115,10 @@
         return;
     if (!message.limited) {
         // Should the replica name a limit again, the next answer says so.
-        catalog_->at(*number).rate_limit.reset();
-        catalog_->at(*number).rate_limit_ended = true;
+        auto& target = catalog_->at(*number);
+        target.rate_limit_ended = true;
+        if (std::exchange(target.rate_limit, std::nullopt) && on_limit_changed)
+            on_limit_changed(*number, from);
         return;
     }
     auto& state = requests_[*number];
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -12,7 +12,6 @@
 #include <peridotward/gateway/upstream_pool.hpp>
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -89,10 +88,7 @@
     retry_schedule_of(const forwarded_request& request);
     /// \param source What said it: `answer`, or the instance that told this
     /// one.
-    void log_rate_limit(
-        replica_number number,
-        std::optional<double> per_second,
-        std::string_view source);
+    void log_rate_limit(replica_number number, std::string_view source);
     void log_retry_budgets(time_point now);
     [[nodiscard]] forward_context context() noexcept
     {
--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -80,7 +80,7 @@
     body_too_large,
 };
 
-/// \brief Size of a message that is being read.
+/// \brief Size of a message that is being read, and its limits.
 struct message_size
 {
     std::size_t max_head_bytes = 0; ///< Also of a chunk's line and a trailer.
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -20,8 +20,7 @@
 /// \remarks The id of an instance is its gossip address, so that seeds need no
 /// separate id. Datagrams that can't be decoded are dropped and counted.
 /// Membership only decides which instances the directory lists and how budgets
-/// are divided between instances; the outcome of a
-/// single request never depends on what a peer reports.
+/// are divided between instances.
 class peer_gossip final : public io_handler
 {
 public:
@@ -53,7 +52,7 @@
     /// \brief Announces the load of this instance.
     void set_load(member_load load);
 
-    /// \brief Sends messages that aren't part of the membership protocol.
+    /// \brief Sends messages to other instances, without confirmation.
     void send(std::vector<outgoing_message> messages);
 
     /// \returns All instances that serve callers, including this one.
@@ -73,7 +72,7 @@
         return bad_frames_;
     }
 
-    /// Called with each message that isn't part of the membership protocol.
+    /// Called with each message about shares of rate limits.
     std::function<void(std::string_view from, const peer_message&)> on_message;
 
     /// Called after each membership change.
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -12,7 +12,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <optional>
 
 namespace peridotward {
 
@@ -77,7 +76,7 @@
     std::function<void(replica_number, milliseconds)> on_pause;
 
     /// Called when a replica begins or ceases to name a rate limit.
-    std::function<void(replica_number, std::optional<double>)> on_rate_limit;
+    std::function<void(replica_number)> on_rate_limit;
 
     [[nodiscard]] std::size_t connection_count() const;
 
@@ -85,9 +84,9 @@
     [[nodiscard]] std::size_t waiting_count() const;
 
     /// \brief Updates the size of the incomplete answer of one connection.
-    void on_buffered(std::size_t before, std::size_t now) noexcept
+    void change_buffered(std::size_t before, std::size_t after) noexcept
     {
-        buffered_bytes_ += now - before;
+        buffered_bytes_ += after - before;
     }
 
     /// \brief Gives up the largest incomplete answers while all together exceed
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -97,8 +97,11 @@
              {"service", published.service},
              {"source", "answer"}});
     };
-    pool_.on_rate_limit = [this](replica_number number, auto per_second) {
-        log_rate_limit(number, per_second, "answer");
+    pool_.on_rate_limit = [this](replica_number number) {
+        log_rate_limit(number, "answer");
+    };
+    rate_share_exchange_.on_limit_changed = [this](auto number, auto from) {
+        log_rate_limit(number, from);
     };
     pool_.on_pause = [this](replica_number number, milliseconds pause) {
         const auto& published = catalog_.at(number).published;
@@ -146,47 +149,31 @@
         static_cast<std::uint32_t>(fleet_.others.size()) + 1);
 }
 
-void forwarder::log_rate_limit(
-    replica_number number,
-    std::optional<double> per_second,
-    std::string_view source)
+void forwarder::log_rate_limit(replica_number number, std::string_view source)
 {
-    const auto& published = catalog_.at(number).published;
+    const auto& target = catalog_.at(number);
     stats_->count("upstream_rate_limits_total");
     log_->write(
         loop_->now(),
         event_severity::notable,
-        per_second ? "upstream_rate_limited" : "upstream_rate_limit_ended",
-        {{"replica", published.id},
-         {"service", published.service},
+        target.rate_limit ? "upstream_rate_limited"
+                          : "upstream_rate_limit_ended",
+        {{"replica", target.published.id},
+         {"service", target.published.service},
          {"source", source},
          {"per_minute",
-          static_cast<std::uint64_t>(per_second.value_or(0) * 60)}});
+          static_cast<std::uint64_t>(target.rate_limit.value_or(0) * 60)}});
 }
 
 void forwarder::on_peer_message(
     std::string_view from, const peer_message& message)
 {
     const auto now = loop_->now();
-    const auto limit_of = [this](const std::string& id) {
-        const auto number = catalog_.find(id);
-        return number ? catalog_.at(*number).rate_limit : std::nullopt;
-    };
-    std::string replica;
-    std::optional<double> before;
     std::vector<outgoing_message> answers;
-    if (const auto* request = std::get_if<rate_share_request>(&message)) {
-        replica = request->replica;
-        before = limit_of(replica);
+    if (const auto* request = std::get_if<rate_share_request>(&message))
         rate_share_exchange_.on_message(from, *request, fleet_, now, answers);
-    }
-    else if (const auto* grant = std::get_if<rate_share_grant>(&message)) {
-        replica = grant->replica;
-        before = limit_of(replica);
+    else if (const auto* grant = std::get_if<rate_share_grant>(&message))
         rate_share_exchange_.on_message(from, *grant);
-    }
-    if (const auto after = limit_of(replica); after != before)
-        log_rate_limit(*catalog_.find(replica), after, from);
     if (!answers.empty())
         send_to_peers(std::move(answers));
 }
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -194,7 +194,7 @@
 
 void upstream_connection::set_buffered(std::size_t bytes) noexcept
 {
-    pool_->on_buffered(std::exchange(buffered_, bytes), bytes);
+    pool_->change_buffered(std::exchange(buffered_, bytes), bytes);
 }
 
 void upstream_connection::parse()
@@ -313,7 +313,7 @@
     if (changed)
         replica.rate_limit_ended = !named;
     if (changed && pool_->on_rate_limit)
-        pool_->on_rate_limit(replica_, named);
+        pool_->on_rate_limit(replica_);
 }
 
 void upstream_connection::record_pause()
--- a/gateway/tests/endless_upstream_test.cpp
+++ b/gateway/tests/endless_upstream_test.cpp
@@ -1,3 +1,5 @@
+#include "recording_owner.hpp"
+
 #include <peridotward/gateway/socket.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
 
@@ -72,33 +74,6 @@
     std::vector<unique_socket> connections_;
 };
 
-/// Records how its attempts end.
-class endless_owner final : public attempt_owner
-{
-public:
-    void send(endless_replica& to, std::uint32_t attempt)
-    {
-        upstream_request request;
-        request.owner = this;
-        request.attempt = attempt;
-        request.expires_at = to.clock.now() + seconds{10};
-        REQUIRE(to.pool.send(0, std::move(request), 100));
-    }
-    [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
-    {
-        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-    }
-
-    std::vector<forward_outcome> ended;
-
-private:
-    void on_attempt_end(
-        std::uint32_t, forward_outcome outcome, response_message*) override
-    {
-        ended.push_back(outcome);
-    }
-};
-
 } // namespace
 
 // Guards against upstreams whose bytes without end use up the memory.
@@ -114,8 +89,8 @@
     };
     for (const auto& [begin, repeated] : cases) {
         endless_replica replica{begin, repeated};
-        const boost::intrusive_ptr<endless_owner> owner{new endless_owner};
-        owner->send(replica, 0);
+        const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+        REQUIRE(owner->send(replica.pool, 0, 100, seconds{10}));
         replica.run(2000);
         INFO(begin << repeated);
         CHECK(
@@ -129,10 +104,10 @@
 TEST_CASE("pool: endless answers together stay within its memory", "[pool]")
 {
     endless_replica replica{"HTTP/1.1 200 OK\r\n\r\n", "abc"};
-    const boost::intrusive_ptr<endless_owner> owner{new endless_owner};
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
     constexpr std::uint32_t requests = 40;
     for (std::uint32_t i = 0; i < requests; ++i)
-        owner->send(replica, i);
+        REQUIRE(owner->send(replica.pool, i, 100, seconds{10}));
     replica.run(4000);
     CHECK(replica.most_buffered <= upstream_pool::max_buffered_bytes);
     CHECK(
@@ -148,8 +123,8 @@
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
             "\r\n\r\n",
         "abc"};
-    const boost::intrusive_ptr<endless_owner> owner{new endless_owner};
-    owner->send(replica, 0);
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    REQUIRE(owner->send(replica.pool, 0, 100, seconds{10}));
     replica.run(2000);
     // Without a signature it isn't a success, but whole.
     CHECK(
--- a/gateway/tests/upstream_notice_test.cpp
+++ b/gateway/tests/upstream_notice_test.cpp
@@ -1,3 +1,5 @@
+#include "recording_owner.hpp"
+
 #include <peridotward/gateway/http_session.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
 
@@ -69,33 +71,6 @@
     http_listener listener_{loop, *this};
 };
 
-/// Records how its attempts end.
-class notice_owner final : public attempt_owner
-{
-public:
-    bool send(answering_replica& to, std::uint32_t attempt)
-    {
-        upstream_request request;
-        request.owner = this;
-        request.attempt = attempt;
-        request.expires_at = to.clock.now() + seconds{1};
-        return to.pool.send(0, std::move(request), 2);
-    }
-    [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
-    {
-        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
-    }
-
-    std::vector<forward_outcome> ended;
-
-private:
-    void on_attempt_end(
-        std::uint32_t, forward_outcome outcome, response_message*) override
-    {
-        ended.push_back(outcome);
-    }
-};
-
 replica_availability availability_of_first(const answering_replica& replica)
 {
     return replica.catalog.availability(replica.catalog.at(0));
@@ -111,10 +86,10 @@
     std::vector<replica_number> reported;
     replica.pool.on_leaving = [&](auto number) { reported.push_back(number); };
     replica.answer_head = "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\n";
-    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
     // Two connections, and more requests that wait for one.
     for (std::uint32_t i = 0; i < 6; ++i)
-        REQUIRE(owner->send(replica, i));
+        REQUIRE(owner->send(replica.pool, i, 2, seconds{1}));
     replica.run();
     CHECK(availability_of_first(replica) == replica_availability::excluded);
     CHECK(reported == std::vector<replica_number>{0});
@@ -134,8 +109,8 @@
 {
     answering_replica replica;
     replica.answer_head = "HTTP/1.1 200 OK\r\n";
-    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
-    REQUIRE(owner->send(replica, 0));
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    REQUIRE(owner->send(replica.pool, 0, 2, seconds{1}));
     CHECK(replica.catalog.mark_leaving(0));
     replica.run();
     CHECK(replica.requests == 0);
@@ -154,8 +129,8 @@
           "HTTP/1.1 200 OK\r\n"}) {
         answering_replica replica;
         replica.answer_head = head;
-        const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
-        REQUIRE(owner->send(replica, 0));
+        const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+        REQUIRE(owner->send(replica.pool, 0, 2, seconds{1}));
         replica.run();
         INFO(head);
         CHECK(replica.requests == 1);
@@ -173,9 +148,9 @@
     replica.pool.on_pause = [&](auto, auto pause) { pauses.push_back(pause); };
     replica.answer_head =
         "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 2.5\r\n";
-    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
     for (std::uint32_t i = 0; i < 6; ++i)
-        REQUIRE(owner->send(replica, i));
+        REQUIRE(owner->send(replica.pool, i, 2, seconds{1}));
     replica.run();
     CHECK(replica.requests <= 2);
     CHECK(owner->ended.size() == 6);
@@ -195,8 +170,8 @@
           "HTTP/1.1 200 OK\r\nRetry-After: 9\r\n"}) {
         answering_replica replica;
         replica.answer_head = head;
-        const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
-        REQUIRE(owner->send(replica, 0));
+        const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+        REQUIRE(owner->send(replica.pool, 0, 2, seconds{1}));
         replica.run();
         INFO(head);
         CHECK(replica.requests == 1);
@@ -208,13 +183,13 @@
 {
     answering_replica replica;
     std::vector<std::optional<double>> reported;
-    replica.pool.on_rate_limit = [&](auto, auto named) {
-        reported.push_back(named);
+    replica.pool.on_rate_limit = [&](auto number) {
+        reported.push_back(replica.catalog.at(number).rate_limit);
     };
-    const boost::intrusive_ptr<notice_owner> owner{new notice_owner};
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
     const auto limit_after = [&](std::string head) {
         replica.answer_head = std::move(head);
-        REQUIRE(owner->send(replica, 0));
+        REQUIRE(owner->send(replica.pool, 0, 2, seconds{1}));
         replica.run();
         return replica.catalog.at(0).rate_limit;
     };
