gateway: the limit of buffered answers ends without a connection to give up

Callers saw nothing; found while the diff was read.

Cause: the loop that gives up the largest incomplete answer assumes that a connection is left as long as the count is above the limit. An error in that count would have been a null pointer, the end of the process and of all its requests.

Change: the loop ends when no connection is left.

--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -204,6 +204,8 @@
                     largest = &connection;
             }
         }
+        if (!largest)
+            return;
         largest->give_up();
     }
 }
