--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -19,7 +19,8 @@
     failed,      ///< The replica ran the attempt and answered with an error.
     refused,     ///< The replica states that it did not run the attempt.
     misdirected, ///< Another upstream has the address; nothing was run.
-    broken,      ///< Sent, but the connection failed before a complete answer.
+    broken,      ///< Sent, but no usable answer came in time.
+    interrupted, ///< Sent, but the replica's side ended the connection.
     unreachable, ///< The connection could not be opened; nothing was sent.
     /// Nothing was sent: no connection of the pool was free, or the attempt was
     /// withdrawn while it waited for one.
@@ -36,6 +37,8 @@
         std::pair{
             forward_outcome::misdirected, std::string_view{"misdirected"}},
         std::pair{forward_outcome::broken, std::string_view{"broken"}},
+        std::pair{
+            forward_outcome::interrupted, std::string_view{"interrupted"}},
         std::pair{
             forward_outcome::unreachable, std::string_view{"unreachable"}},
         std::pair{forward_outcome::unsent, std::string_view{"unsent"}},
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -259,6 +259,7 @@
         break;
     case forward_outcome::failed:
     case forward_outcome::broken:
+    case forward_outcome::interrupted:
         health.on_failed(now);
         may_have_run_ = true;
         break;
--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -56,7 +56,8 @@
     /// so that the caller can read the answer.
     static constexpr milliseconds linger_time{1000};
 
-    http_session(reactor& loop, unique_socket socket, http_handler& handler);
+    http_session(
+        reactor& loop, accepted_connection accepted, http_handler& handler);
     ~http_session();
 
     void start();
@@ -91,6 +92,12 @@
     /// \returns The kernel's estimate of the round-trip time to the caller,
     /// read at the first call and then kept; zero if it is unavailable.
     [[nodiscard]] duration round_trip();
+
+    /// \returns The caller's network address, without the port.
+    [[nodiscard]] const std::string& caller_host() const noexcept
+    {
+        return caller_host_;
+    }
     [[nodiscard]] bool busy() const noexcept
     {
         return phase_ == phase::answering || !output_.empty();
@@ -120,6 +127,7 @@
 
     reactor* loop_;
     unique_socket socket_;
+    std::string caller_host_;
     http_handler* handler_;
     phase phase_ = phase::reading;
     std::uint32_t watched_events_ = 0;
--- a/gateway/include/peridotward/gateway/socket.hpp
+++ b/gateway/include/peridotward/gateway/socket.hpp
@@ -55,8 +55,14 @@
 /// \returns A non-blocking UDP socket bound to `address`, or `io_failed`.
 [[nodiscard]] result<unique_socket> bind_udp(const endpoint& address);
 
-/// \returns One accepted non-blocking connection, or an empty socket if none
-/// could be accepted.
-[[nodiscard]] unique_socket accept_tcp(int listener);
+/// \brief A connection that a listener accepted.
+struct accepted_connection
+{
+    unique_socket socket; ///< Non-blocking; empty if none could be accepted.
+    std::string host;     ///< Address of the other side, without the port.
+};
+
+/// \brief Accepts one connection.
+[[nodiscard]] accepted_connection accept_tcp(int listener);
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -58,7 +58,7 @@
     [[nodiscard]] bool overdue(time_point now) const noexcept;
 
     /// \brief Closes the connection and reports its open request as broken.
-    void give_up() { on_connection_end(false); }
+    void give_up() { on_connection_end(forward_outcome::broken); }
 
     /// \returns The size of the incomplete answer.
     [[nodiscard]] std::size_t buffered() const noexcept { return buffered_; }
@@ -99,7 +99,9 @@
     void flush();
     void receive();
     void parse();
-    void on_connection_end(bool orderly);
+    /// \param cause How the open request ends, unless the end of the
+    /// connection completes its answer.
+    void on_connection_end(forward_outcome cause, bool orderly = false);
     void on_answer();
     void set_buffered(std::size_t bytes) noexcept;
     void record_answer_fields();
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/routing/request_fingerprint.hpp>
 #include <peridotward/gateway/forwarder.hpp>
 
 #include <string>
@@ -16,7 +17,8 @@
         forwarder& owner,
         http_session& session,
         forwarded_request request,
-        std::string request_id);
+        std::string request_id,
+        request_fingerprint fingerprint);
     ~forward_operation() override;
 
     /// \brief Sends the first attempts.
@@ -56,6 +58,7 @@
     forwarded_request request_;
     latency_profile* profile_;
     std::string request_id_;
+    request_fingerprint fingerprint_;
     std::string head_; ///< Request line and fields common to all attempts.
     std::string body_;
     bool has_length_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -268,12 +268,19 @@
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
+    const auto fingerprint = fingerprint_of(
+        {session.caller_host(),
+         request.method,
+         *host,
+         request.target,
+         request.body});
     const boost::intrusive_ptr<forward_operation> operation{
         new forward_operation{
             *this,
             session,
             forwarded_request{config_, *route, std::move(services), times},
-            std::string{*id}}};
+            std::string{*id},
+            fingerprint}};
     session.state = operation;
     operation->begin();
 }
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -39,9 +39,10 @@
 }
 
 http_session::http_session(
-    reactor& loop, unique_socket socket, http_handler& handler)
+    reactor& loop, accepted_connection accepted, http_handler& handler)
     : loop_{&loop},
-      socket_{std::move(socket)},
+      socket_{std::move(accepted.socket)},
+      caller_host_{std::move(accepted.host)},
       handler_{&handler},
       idle_since_{loop.now()}
 {}
@@ -294,7 +295,7 @@
     // Accepts one connection per event: a second call would mostly fail with
     // EAGAIN, and level-triggered epoll reports further connections again.
     auto accepted = accept_tcp(socket_.descriptor());
-    if (!accepted)
+    if (!accepted.socket)
         return;
     const boost::intrusive_ptr<http_session> session{
         new http_session{*loop_, std::move(accepted), *handler_}};
--- a/gateway/src/socket.cpp
+++ b/gateway/src/socket.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -128,12 +129,22 @@
     return bind_socket(SOCK_DGRAM, address);
 }
 
-unique_socket accept_tcp(int listener)
+accepted_connection accept_tcp(int listener)
 {
-    unique_socket accepted{
-        ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
-    if (accepted)
-        set_option(accepted.descriptor(), IPPROTO_TCP, TCP_NODELAY, 1);
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    accepted_connection accepted;
+    accepted.socket = unique_socket{::accept4(
+        listener,
+        reinterpret_cast<sockaddr*>(&address),
+        &length,
+        SOCK_NONBLOCK | SOCK_CLOEXEC)};
+    if (!accepted.socket)
+        return accepted;
+    set_option(accepted.socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, 1);
+    std::array<char, INET_ADDRSTRLEN> host{};
+    ::inet_ntop(AF_INET, &address.sin_addr, host.data(), host.size());
+    accepted.host = host.data();
     return accepted;
 }
 
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -113,7 +113,7 @@
     const boost::intrusive_ptr<upstream_connection> guard{this};
     if (phase_ == phase::connecting) {
         if ((events & (EPOLLERR | EPOLLHUP)) != 0)
-            on_connection_end(false);
+            on_connection_end(forward_outcome::unreachable);
         else if ((events & EPOLLOUT) != 0)
             on_connected();
         return;
@@ -160,7 +160,7 @@
             return;
         }
         if (sent < 0) {
-            on_connection_end(false);
+            on_connection_end(forward_outcome::interrupted);
             return;
         }
         written_ += static_cast<std::size_t>(sent);
@@ -176,7 +176,7 @@
     if (received < 0 && (errno == EAGAIN || errno == EINTR))
         return;
     if (received <= 0) {
-        on_connection_end(received == 0);
+        on_connection_end(forward_outcome::interrupted, received == 0);
         return;
     }
     if (phase_ != phase::busy) {
@@ -211,13 +211,13 @@
         case read_state::invalid:
         case read_state::header_too_large:
         case read_state::body_too_large:
-            on_connection_end(false);
+            on_connection_end(forward_outcome::broken);
             return;
         }
     }
 }
 
-void upstream_connection::on_connection_end(bool orderly)
+void upstream_connection::on_connection_end(forward_outcome cause, bool orderly)
 {
     const boost::intrusive_ptr<upstream_connection> guard{this};
     if (phase_ == phase::connecting) {
@@ -233,7 +233,7 @@
     const bool request_open = phase_ == phase::busy;
     close();
     if (request_open)
-        report(forward_outcome::broken, nullptr);
+        report(cause, nullptr);
 }
 
 void upstream_connection::on_answer()
@@ -245,7 +245,7 @@
         // current one may follow.
         if (++mismatched_answers_ > max_mismatched_answers ||
             !answer_.keep_alive)
-            on_connection_end(false);
+            on_connection_end(forward_outcome::broken);
         return;
     }
     const bool request_sent = written_ == output_.size();
@@ -382,7 +382,7 @@
     if (phase_ == phase::idle)
         close();
     else if (phase_ != phase::closed)
-        on_connection_end(false);
+        on_connection_end(forward_outcome::broken);
 }
 
 void upstream_connection::close()
--- a/gateway/tests/endless_upstream_test.cpp
+++ b/gateway/tests/endless_upstream_test.cpp
@@ -42,9 +42,10 @@
         for (int round = 0; round < rounds; ++round) {
             loop.defer([] {}); // With a deferred action the loop doesn't wait.
             loop.run_once();
-            if (auto accepted = accept_tcp(listener_.descriptor())) {
-                write(accepted, begin_);
-                connections_.push_back(std::move(accepted));
+            if (auto accepted = accept_tcp(listener_.descriptor());
+                accepted.socket) {
+                write(accepted.socket, begin_);
+                connections_.push_back(std::move(accepted.socket));
             }
             for (const auto& connection : connections_)
                 write(connection, repeated_);
