core, gateway: a request that crashes the upstreams that run it is quarantined by all instances

Cause: what an attempt does to an upstream was remembered of the upstream only. The limits of attempts hold within one attempt of a caller, and no instance knew that another had seen the same request end an upstream.

Now each instance keeps, by fingerprint, how many crashes in a row requests were part of, tells the others, sends suspects to one replica first, and refuses at once from the third crash in a row (503, not run, Retry-After of the remaining time). An answer clears a request, so harmless ones that ran at the same upstreams stay served. A connection that ends counts only if the replica then refuses connections or another upstream answers at its address.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -114,6 +114,9 @@
     static constexpr int late_wait_divisor = 2;
     /// Refusals of one part after which the part is given up.
     static constexpr std::uint32_t max_refusals = 5;
+    /// Replicas that ended their connection while they ran one part, after
+    /// which the part is given up: the request may be what ends them.
+    static constexpr std::uint32_t max_interruptions = 2;
 
     /// \param config Kept alive until the request is destroyed.
     /// \param route A route of `config`.
@@ -125,8 +128,14 @@
         std::vector<forward_service_index> services,
         forward_times times);
 
-    /// \brief Starts the first attempt of each part. The request ends with
-    /// `not_run` when too few parts have an available replica.
+    /// \brief Makes the request a trial: one part is sent to one replica,
+    /// without a hedge, and the others follow when that replica has survived
+    /// it. If it hasn't, the request ends. Called before `begin`.
+    void limit_to_trial() noexcept { trial_ = true; }
+
+    /// \brief Starts the first attempt of each part, or of one in a trial. The
+    /// request ends with `not_run` when too few parts have an available
+    /// replica.
     void begin(
         const forward_context& context,
         const latency_profile& profile,
@@ -200,6 +209,10 @@
     [[nodiscard]] unusable_replicas
     count_unusable(const forward_context& context, time_point now) const;
 
+    /// \returns Whether each part at which a replica ended its connection was
+    /// answered by another one.
+    [[nodiscard]] bool survived() const noexcept;
+
     /// \returns Whether a replica may have run any part.
     [[nodiscard]] bool may_have_run() const noexcept { return may_have_run_; }
 
@@ -235,12 +248,14 @@
     struct part_state
     {
         forward_service_index service = 0;
+        bool begun = false; ///< The first attempt was tried.
         bool answered = false;
         bool given_up = false;
         std::uint8_t open = 0;     ///< Attempts without a result.
         std::uint8_t ran = 0;      ///< Attempts that a replica may have run.
         std::uint8_t arrivals = 0; ///< Attempts that may have arrived.
         std::uint8_t refusals = 0; ///< Attempts that did not run.
+        std::uint8_t interruptions = 0;
         time_point hedge_at = time_point::max();
         std::vector<replica_number> tried;
         /// Subset of `tried` that refused and can be tried again.
@@ -253,6 +268,15 @@
     [[nodiscard]] bool has_enough_parts() const noexcept;
     /// \returns Whether too many parts were given up for any answer.
     [[nodiscard]] bool has_failed() const noexcept;
+    /// \brief Sends parts that weren't sent before; in a trial only one, and
+    /// none while one is open.
+    void send_first_attempts(
+        const forward_context& context,
+        const latency_profile& profile,
+        time_point now,
+        forward_actions& out);
+    /// \brief Ends the trial when its part has a result.
+    void update_trial(forward_outcome outcome) noexcept;
     /// \brief Starts an attempt of the part, if a replica and, for a hedge or
     /// retry, the budget allow it.
     bool send(
@@ -301,6 +325,7 @@
     /// answer misses the target latency.
     bool full_value_passed_ = false;
     bool late_deadline_passed_ = false;
+    bool trial_ = false;
     bool ended_ = false;
 };
 
--- a/core/include/peridotward/core/membership/peer_message.hpp
+++ b/core/include/peridotward/core/membership/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <peridotward/base/endpoint.hpp>
+#include <peridotward/core/quarantine/crash_record.hpp>
 #include <peridotward/core/query/attempt.hpp>
 
 #include <cstdint>
@@ -265,6 +266,16 @@
     bool limited = true; ///< False: the replica has ceased to name a limit.
 };
 
+/// \brief Tells of requests that crash upstreams.
+struct crash_records
+{
+    bool wanted = false; ///< The sender asks for all records.
+    /// With this message the receiver has all records that the sender has, and
+    /// the sender has missed none.
+    bool complete = false;
+    std::vector<crash_record> records;
+};
+
 /// \brief All messages between instances.
 using peer_message = std::variant<
     probe,
@@ -281,7 +292,8 @@
     config_fetch,
     config_part,
     rate_share_request,
-    rate_share_grant>;
+    rate_share_grant,
+    crash_records>;
 
 /// \brief A message and the id of the instance to send it to.
 struct outgoing_message
--- /dev/null
+++ b/core/include/peridotward/core/quarantine/crash_history.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <peridotward/base/time.hpp>
+#include <peridotward/core/quarantine/crash_record.hpp>
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace peridotward {
+
+/// \brief How a request is sent, by the crashes that it was part of.
+enum class request_trust : std::uint8_t
+{
+    trusted,
+    suspected,   ///< Sent to one upstream first, without hedges.
+    quarantined, ///< Not sent.
+};
+
+/// \brief The requests that were running at upstreams when these crashed.
+///
+/// \remarks Each crash raises the level of all requests that the upstream was
+/// running. An answer clears a request, since one that crashes its upstreams is
+/// never answered; so harmless requests leave again. At `quarantine_level` a
+/// request is no longer sent, by any instance that has the record.
+class crash_history
+{
+public:
+    static constexpr std::uint32_t quarantine_level = 3;
+    /// How long a record is kept after its level has changed.
+    static constexpr std::chrono::minutes retention{10};
+    /// How long the record of a cleared request is kept, so that all instances
+    /// hear of it.
+    static constexpr seconds cleared_retention{20};
+    /// A request that was answered within this time is not suspected.
+    static constexpr seconds answer_memory{10};
+    /// Beyond it the records with the lowest level are dropped, oldest first.
+    static constexpr std::size_t max_records = 1024;
+
+    /// \brief What was known of a request when an attempt was sent.
+    struct mark
+    {
+        std::uint32_t generation = 0;
+        std::uint32_t level = 0;
+    };
+
+    [[nodiscard]] mark
+    mark_of(request_fingerprint request, time_point now) const;
+
+    [[nodiscard]] request_trust
+    trust(request_fingerprint request, time_point now) const;
+
+    /// \returns When a quarantined request is sent again.
+    [[nodiscard]] time_point
+    quarantined_until(request_fingerprint request) const;
+
+    /// \brief Records that an upstream crashed while it ran an attempt.
+    /// \param sent_with `mark_of` when the attempt was sent.
+    /// \returns Whether the level rose.
+    bool on_crash(request_fingerprint request, mark sent_with, time_point now);
+
+    /// \brief Records a whole answer to an attempt that crashed no upstream.
+    void on_answered(request_fingerprint request, time_point now);
+
+    /// \brief Takes over what another instance knows.
+    /// \returns Whether the level rose.
+    bool merge(const crash_record& record, time_point now);
+
+    /// \brief Drops records whose time has passed.
+    void expire(time_point now);
+
+    /// \returns At most `max_count` records that changed lately; each is
+    /// returned by `transmissions` calls after a change.
+    [[nodiscard]] std::vector<crash_record>
+    take_changed(std::size_t max_count, time_point now);
+
+    /// \returns At most `max_count` records from `min_level`, beginning after
+    /// those of the last call.
+    [[nodiscard]] std::vector<crash_record> next_records(
+        std::size_t max_count, std::uint32_t min_level, time_point now);
+
+    [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
+
+    /// \returns The number of quarantined requests.
+    [[nodiscard]] std::size_t quarantined() const noexcept;
+
+private:
+    /// Calls of `take_changed` that return a changed record.
+    static constexpr std::uint32_t transmissions = 4;
+    /// Must be a power of two.
+    static constexpr std::size_t answered_slots = 4096;
+
+    struct known_request
+    {
+        std::uint32_t generation = 0;
+        std::uint32_t level = 0;
+        time_point until;
+        std::uint32_t remaining_transmissions = 0;
+    };
+    struct answered_request
+    {
+        request_fingerprint request{};
+        time_point at;
+    };
+    using record_map = std::unordered_map<request_fingerprint, known_request>;
+
+    [[nodiscard]] bool
+    answered_lately(request_fingerprint request, time_point now) const;
+    [[nodiscard]] static crash_record record_of(
+        request_fingerprint request,
+        const known_request& known,
+        time_point now);
+    void
+    change(request_fingerprint request, known_request& known, time_point until);
+    void
+    clear(request_fingerprint request, known_request& known, time_point now);
+    /// Keeps the number of records within `max_records`.
+    void evict();
+
+    record_map records_;
+    /// Requests with records to transmit, oldest change first.
+    std::vector<request_fingerprint> changed_;
+    /// The latest answered requests; each has one possible place.
+    std::vector<answered_request> answered_ =
+        std::vector<answered_request>(answered_slots);
+    std::uint64_t next_request_ = 0;
+};
+
+} // namespace peridotward
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -79,6 +79,13 @@
     return retry_times.empty() ? now : retry_times.back();
 }
 
+bool forwarded_request::survived() const noexcept
+{
+    return std::none_of(parts_.begin(), parts_.end(), [](const auto& part) {
+        return part.interruptions > 0 && !part.answered;
+    });
+}
+
 unusable_replicas forwarded_request::count_unusable(
     const forward_context& context, time_point now) const
 {
@@ -162,7 +169,8 @@
     const auto wait = profile.hedge_after() > duration::zero()
                           ? profile.hedge_after()
                           : route_->target_latency / default_hedge_divisor;
-    const bool may_hedge = route_->safety == retry_safety::idempotent &&
+    const bool may_hedge = !trial_ &&
+                           route_->safety == retry_safety::idempotent &&
                            state.ran < route_->max_attempts;
     state.hedge_at = may_hedge ? now + wait : time_point::max();
     out.sends.push_back(
@@ -177,16 +185,54 @@
     time_point now,
     forward_actions& out)
 {
-    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+    for (std::uint32_t part = 0; part < parts_.size(); ++part)
         context.budgets->on_request(service(part).name, now);
-        if (!send(part, context, profile, now, out))
-            give_up(part);
-    }
+    send_first_attempts(context, profile, now, out);
     // Nothing was sent yet, so it is certain that no part was run.
     if (has_failed())
         finish(forward_end::not_run, context, out);
 }
 
+void forwarded_request::send_first_attempts(
+    const forward_context& context,
+    const latency_profile& profile,
+    time_point now,
+    forward_actions& out)
+{
+    for (std::uint32_t part = 0; part < parts_.size(); ++part) {
+        auto& state = parts_[part];
+        if (state.begun || state.given_up)
+            continue;
+        state.begun = true;
+        if (!send(part, context, profile, now, out))
+            give_up(part);
+        else if (trial_)
+            return;
+    }
+}
+
+void forwarded_request::update_trial(forward_outcome outcome) noexcept
+{
+    if (!trial_)
+        return;
+    switch (outcome) {
+    case forward_outcome::answered:
+    case forward_outcome::failed:
+    case forward_outcome::broken:
+        trial_ = false;
+        break;
+    case forward_outcome::interrupted:
+        for (std::uint32_t part = 0; part < parts_.size(); ++part)
+            give_up(part);
+        break;
+    case forward_outcome::refused:
+    case forward_outcome::misdirected:
+    case forward_outcome::unreachable:
+    case forward_outcome::unsent:
+        break;
+    }
+}
+
 void forwarded_request::retry(
     std::uint32_t part,
     const forward_context& context,
@@ -195,12 +241,13 @@
     forward_actions& out)
 {
     auto& state = parts_[part];
-    if (state.answered || state.open > 0)
+    if (state.answered || state.given_up || state.open > 0)
         return;
     const bool may_retry =
         route_->safety == retry_safety::idempotent || state.ran == 0;
-    const bool attempts_left =
-        state.ran < route_->max_attempts && state.refusals < max_refusals;
+    const bool attempts_left = state.ran < route_->max_attempts &&
+                               state.refusals < max_refusals &&
+                               state.interruptions < max_interruptions;
     if (!may_retry || !attempts_left) {
         give_up(part);
         return;
@@ -262,6 +309,7 @@
     case forward_outcome::interrupted:
         health.on_failed(now);
         may_have_run_ = true;
+        part.interruptions += outcome == forward_outcome::interrupted ? 1 : 0;
         break;
     case forward_outcome::refused:
         health.on_shed(now);
@@ -291,8 +339,12 @@
     }
     if (ended_ || part.answered)
         return false;
+    const auto ended_part = ended.part;
+    update_trial(outcome);
     if (outcome != forward_outcome::answered) {
-        retry(ended.part, context, profile, now, out);
+        retry(ended_part, context, profile, now, out);
+        if (!trial_ || parts_[ended_part].open == 0)
+            send_first_attempts(context, profile, now, out);
         finish_if_due(context, now, out);
         return false;
     }
@@ -308,6 +360,7 @@
             context.catalog->at(other.to).health.on_hedge_won(
                 now - other.sent_at, profile.median(), now);
     }
+    send_first_attempts(context, profile, now, out);
     finish_if_due(context, now, out);
     return true;
 }
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -568,3 +568,84 @@
             request, i, forward_outcome::answered, start + milliseconds{10});
     CHECK(fixture.out.end == forward_end::partial);
 }
+
+// Guards against a search that crashes a replica of each shard before the first
+// crash is known.
+TEST_CASE(
+    "trial: the other parts follow when one replica has survived the request",
+    "[forwarding]")
+{
+    forward_fixture fixture{4, 3, idempotent(3, 0.75)};
+    auto request = fixture.make_request();
+    request.limit_to_trial();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    REQUIRE(fixture.out.sends.size() == 1);
+    fixture.out.clear();
+    const auto later = start + milliseconds{50};
+    request.on_timeout(fixture.context(), fixture.profile, later, fixture.out);
+    CHECK(fixture.out.sends.empty());
+
+    SECTION("survived")
+    {
+        const auto outcome = GENERATE(
+            forward_outcome::answered,
+            forward_outcome::failed,
+            forward_outcome::broken);
+        fixture.result(request, 0, outcome, later);
+        CHECK(
+            fixture.out.sends.size() ==
+            (outcome == forward_outcome::answered ? 3 : 4));
+        CHECK_FALSE(request.ended());
+    }
+    SECTION("not run: another replica is tried")
+    {
+        fixture.result(request, 0, forward_outcome::refused, later);
+        REQUIRE(fixture.out.sends.size() == 1);
+        CHECK(fixture.out.sends.front().part == 0);
+    }
+    SECTION("no replica of its shard: another part is tried")
+    {
+        for (std::uint32_t i = 0; i < 3; ++i) {
+            fixture.out.clear();
+            fixture.result(request, i, forward_outcome::unreachable, later);
+        }
+        REQUIRE(fixture.out.sends.size() == 1);
+        CHECK(fixture.out.sends.front().part == 1);
+    }
+    SECTION("interrupted: the request ends, and may have run")
+    {
+        fixture.result(request, 0, forward_outcome::interrupted, later);
+        CHECK(fixture.out.sends.empty());
+        CHECK(fixture.out.end == forward_end::failed);
+        CHECK_FALSE(request.survived());
+    }
+}
+
+TEST_CASE(
+    "forwarding: a part that two replicas interrupted is not sent to a third",
+    "[forwarding]")
+{
+    forward_fixture fixture{1, 4, idempotent(4)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    fixture.out.clear();
+    fixture.result(request, 0, forward_outcome::interrupted, start);
+    REQUIRE(fixture.out.sends.size() == 1);
+    fixture.out.clear();
+    fixture.result(request, 1, forward_outcome::interrupted, start);
+    CHECK(fixture.out.sends.empty());
+    CHECK(fixture.out.end == forward_end::failed);
+}
+
+TEST_CASE(
+    "forwarding: a request that another replica answers has survived",
+    "[forwarding]")
+{
+    forward_fixture fixture{1, 4, idempotent(4)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    fixture.result(request, 0, forward_outcome::interrupted, start);
+    CHECK_FALSE(request.survived());
+    fixture.result(request, 1, forward_outcome::answered, start);
+    CHECK(request.survived());
+}
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -3,6 +3,8 @@
 #include <peridotward/core/admission/retry_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
 #include <peridotward/core/placement/rate_share_exchange.hpp>
+#include <peridotward/core/quarantine/crash_history_exchange.hpp>
+#include <peridotward/core/quarantine/interrupted_requests.hpp>
 #include <peridotward/core/routing/weighted_round_robin.hpp>
 #include <peridotward/gateway/counters.hpp>
 #include <peridotward/gateway/event_log.hpp>
@@ -71,6 +73,10 @@
     }
     [[nodiscard]] upstream_catalog& catalog() noexcept { return catalog_; }
     [[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
+    [[nodiscard]] const crash_history& crashes() const noexcept
+    {
+        return crash_history_;
+    }
     [[nodiscard]] std::size_t open_requests() const noexcept
     {
         return open_requests_;
@@ -90,6 +96,21 @@
     /// one.
     void log_rate_limit(replica_number number, std::string_view source);
     void log_retry_budgets(time_point now);
+    /// \returns Whether the request was refused because it crashes upstreams.
+    bool
+    refuse_quarantined(http_session& session, request_fingerprint fingerprint);
+    /// \brief Records that a replica ended the connection on which it ran the
+    /// request.
+    void on_interrupted(
+        replica_number number,
+        request_fingerprint fingerprint,
+        crash_history::mark sent_with);
+    /// \brief Records that a replica has ended; the requests that it
+    /// interrupted may have caused that.
+    void on_replica_ended(replica_number number);
+    void
+    log_crash_level(request_fingerprint fingerprint, std::string_view source);
+    void exchange_crash_history();
     [[nodiscard]] forward_context context() noexcept
     {
         return {&catalog_, &replica_selector_, &retry_budgets_, &fleet_};
@@ -104,6 +125,9 @@
     upstream_catalog catalog_;
     replica_selector replica_selector_;
     rate_share_exchange rate_share_exchange_;
+    crash_history crash_history_;
+    crash_history_exchange crash_history_exchange_;
+    interrupted_requests interrupted_requests_;
     retry_budgets retry_budgets_;
     fleet_view fleet_;
     upstream_pool pool_;
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -72,7 +72,7 @@
         return bad_frames_;
     }
 
-    /// Called with each message about shares of rate limits.
+    /// Called with each message that isn't about membership.
     std::function<void(std::string_view from, const peer_message&)> on_message;
 
     /// Called after each membership change.
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -68,6 +68,11 @@
 
     [[nodiscard]] bool idle() const noexcept { return phase_ == phase::idle; }
 
+    [[nodiscard]] bool connecting() const noexcept
+    {
+        return phase_ == phase::connecting;
+    }
+
     /// \returns Whether the replica is expected to keep the idle connection
     /// open at `now`.
     [[nodiscard]] bool usable_at(time_point now) const noexcept
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -45,6 +45,10 @@
         upstream_request request,
         std::uint32_t max_connections);
 
+    /// \brief Opens a connection to find out whether the replica still listens,
+    /// unless one is being opened.
+    void probe(replica_number number);
+
     /// \brief Ends all attempts of `owner` without reporting them.
     void abort_all(const attempt_owner& owner);
 
@@ -69,6 +73,9 @@
     /// get new requests.
     [[nodiscard]] bool wants_requests(replica_number number) const;
 
+    /// Called when a connection to a replica is refused.
+    std::function<void(replica_number)> on_refused;
+
     /// Called when a replica says in an answer that it is leaving.
     std::function<void(replica_number)> on_leaving;
 
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -36,6 +36,8 @@
     gauge("replicas_leaving", leaving);
     gauge("replicas_paused", paused);
     gauge("replicas_rate_limited", rate_limited);
+    gauge("requests_suspected", forwarding_->crashes().size());
+    gauge("requests_quarantined", forwarding_->crashes().quarantined());
     return text;
 }
 
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -94,6 +94,8 @@
       profile_{&owner.profiles_[request_.route().name]},
       request_id_{std::move(request_id)},
       fingerprint_{fingerprint},
+      crash_mark_{
+          owner.crash_history_.mark_of(fingerprint, owner.loop_->now())},
       head_{head_for_upstreams(session.request(), *owner.names_)},
       body_{session.request().body},
       has_length_{session.request().has_length},
@@ -112,6 +114,8 @@
 
 void forward_operation::begin()
 {
+    if (crash_mark_.level > 0)
+        request_.limit_to_trial();
     request_.begin(
         owner_->context(), *profile_, owner_->loop_->now(), actions_);
     execute_actions();
@@ -231,6 +235,11 @@
              {"status", answer != nullptr ? answer->status : 0},
              {"age", now - request_.times().arrived}});
     }
+    if (outcome == forward_outcome::interrupted)
+        owner_->on_interrupted(
+            request_.replica_of(attempt), fingerprint_, crash_mark_);
+    else if (outcome == forward_outcome::misdirected)
+        owner_->on_replica_ended(request_.replica_of(attempt));
     const bool answer_used = request_.on_result(
         attempt, outcome, owner_->context(), *profile_, now, actions_);
     if (answer_used && answer != nullptr) {
@@ -295,10 +304,12 @@
     withdraw_unneeded();
     --owner_->open_requests_;
     log_end(end);
-    if (session_ == nullptr)
-        return;
     const bool success =
         end == forward_end::complete || end == forward_end::partial;
+    if (success && request_.survived())
+        owner_->crash_history_.on_answered(fingerprint_, owner_->loop_->now());
+    if (session_ == nullptr)
+        return;
     if (success)
         owner_->retry_schedule_of(request_).on_served(owner_->loop_->now());
     auto* const session = std::exchange(session_, nullptr);
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -59,6 +59,7 @@
     latency_profile* profile_;
     std::string request_id_;
     request_fingerprint fingerprint_;
+    crash_history::mark crash_mark_; ///< When the request arrived.
     std::string head_; ///< Request line and fields common to all attempts.
     std::string body_;
     bool has_length_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -81,6 +81,7 @@
       replica_selector_{
           catalog_, settings.cold_starts, settings.domain, random_},
       rate_share_exchange_{catalog_, replica_selector_, random_},
+      crash_history_exchange_{crash_history_, random_},
       retry_budgets_{settings.retries},
       pool_{loop, catalog_, names}
 {
@@ -103,6 +104,12 @@
     rate_share_exchange_.on_limit_changed = [this](auto number, auto from) {
         log_rate_limit(number, from);
     };
+    pool_.on_refused = [this](replica_number number) {
+        on_replica_ended(number);
+    };
+    crash_history_exchange_.on_raised = [this](auto fingerprint, auto from) {
+        log_crash_level(fingerprint, from);
+    };
     pool_.on_pause = [this](replica_number number, milliseconds pause) {
         const auto& published = catalog_.at(number).published;
         stats_->count("upstream_pauses_total");
@@ -174,10 +181,89 @@
         rate_share_exchange_.on_message(from, *request, fleet_, now, answers);
     else if (const auto* grant = std::get_if<rate_share_grant>(&message))
         rate_share_exchange_.on_message(from, *grant);
+    else if (const auto* records = std::get_if<crash_records>(&message))
+        crash_history_exchange_.on_message(from, *records, now, answers);
     if (!answers.empty())
         send_to_peers(std::move(answers));
 }
 
+void forwarder::log_crash_level(
+    request_fingerprint fingerprint, std::string_view source)
+{
+    const auto now = loop_->now();
+    const auto level = crash_history_.mark_of(fingerprint, now).level;
+    log_->write(
+        now,
+        event_severity::notable,
+        level >= crash_history::quarantine_level ? "request_quarantined"
+                                                 : "request_suspected",
+        {{"fingerprint", to_text(fingerprint)},
+         {"crashes", level},
+         {"source", source}});
+}
+
+void forwarder::exchange_crash_history()
+{
+    std::vector<outgoing_message> messages;
+    crash_history_exchange_.poll(fleet_, loop_->now(), messages);
+    if (!messages.empty() && send_to_peers)
+        send_to_peers(std::move(messages));
+}
+
+void forwarder::on_interrupted(
+    replica_number number,
+    request_fingerprint fingerprint,
+    crash_history::mark sent_with)
+{
+    interrupted_requests_.add({number, fingerprint, sent_with, loop_->now()});
+    pool_.probe(number);
+}
+
+void forwarder::on_replica_ended(replica_number number)
+{
+    const auto now = loop_->now();
+    const auto interrupted = interrupted_requests_.take(number, now);
+    if (interrupted.empty())
+        return;
+    const auto& published = catalog_.at(number).published;
+    stats_->count(
+        "upstream_crashes_total{service=\"" + published.service + "\"}");
+    log_->write(
+        now,
+        event_severity::notable,
+        "upstream_crashed",
+        {{"replica", published.id},
+         {"service", published.service},
+         {"address", published.address.text()},
+         {"requests", interrupted.size()}});
+    bool raised = false;
+    for (const auto& each : interrupted) {
+        if (!crash_history_.on_crash(each.request, each.sent_with, now))
+            continue;
+        raised = true;
+        log_crash_level(each.request, "own");
+    }
+    if (raised)
+        exchange_crash_history();
+}
+
+bool forwarder::refuse_quarantined(
+    http_session& session, request_fingerprint fingerprint)
+{
+    const auto now = loop_->now();
+    if (crash_history_.trust(fingerprint, now) != request_trust::quarantined)
+        return false;
+    stats_->count("quarantined_requests_total");
+    refuse(
+        session,
+        503,
+        "not run: request " + to_text(fingerprint) +
+            " has crashed the upstreams that ran it",
+        std::chrono::ceil<milliseconds>(
+            crash_history_.quarantined_until(fingerprint) - now));
+    return true;
+}
+
 void forwarder::apply_settings()
 {
     retry_budgets_.bounds(settings_->retries);
@@ -251,6 +337,14 @@
         refuse(session, 404, "no route has this host and path");
         return;
     }
+    const auto fingerprint = fingerprint_of(
+        {session.caller_host(),
+         request.method,
+         *host,
+         request.target,
+         request.body});
+    if (refuse_quarantined(session, fingerprint))
+        return;
     const auto time_left_text = request.fields.find(names_->time_left);
     const auto stated_time_left =
         time_left_text ? parse_time(*time_left_text) : std::nullopt;
@@ -268,12 +362,6 @@
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
-    const auto fingerprint = fingerprint_of(
-        {session.caller_host(),
-         request.method,
-         *host,
-         request.target,
-         request.body});
     const boost::intrusive_ptr<forward_operation> operation{
         new forward_operation{
             *this,
@@ -316,6 +404,7 @@
 void forwarder::check(time_point now)
 {
     log_retry_budgets(now);
+    exchange_crash_history();
     std::vector<outgoing_message> requests;
     rate_share_exchange_.poll(fleet_, now, requests);
     if (!requests.empty() && send_to_peers)
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -190,7 +190,8 @@
         members_.on_message(from, *indirect_probe, now, outgoing_messages_);
     else if (
         on_message && (std::holds_alternative<rate_share_request>(*message) ||
-                       std::holds_alternative<rate_share_grant>(*message)))
+                       std::holds_alternative<rate_share_grant>(*message) ||
+                       std::holds_alternative<crash_records>(*message)))
         on_message(from, *message);
     else
         ++bad_frames_;
--- a/gateway/src/socket.cpp
+++ b/gateway/src/socket.cpp
@@ -119,7 +119,9 @@
         opened->descriptor(),
         reinterpret_cast<const sockaddr*>(&target),
         sizeof target);
-    if (status != 0 && errno != EINPROGRESS)
+    // A refusal that is known at once is reported like a later one, as an
+    // event.
+    if (status != 0 && errno != EINPROGRESS && errno != ECONNREFUSED)
         return socket_failure("cannot connect to", address);
     return opened;
 }
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -222,6 +222,8 @@
     const boost::intrusive_ptr<upstream_connection> guard{this};
     if (phase_ == phase::connecting) {
         close();
+        if (cause == forward_outcome::unreachable && pool_->on_refused)
+            pool_->on_refused(replica_);
         report(forward_outcome::unreachable, nullptr);
         return;
     }
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -85,6 +85,21 @@
     return opened;
 }
 
+void upstream_pool::probe(replica_number number)
+{
+    auto& replica = connections_of(number);
+    std::uint32_t count = 0;
+    for (const auto& connection : replica.connections) {
+        ++count;
+        if (connection.connecting())
+            return;
+    }
+    if (count >= replica.max_connections)
+        return;
+    if (const auto opened = open_connection(number))
+        replica.connections.push_front(*opened);
+}
+
 bool upstream_pool::send(
     replica_number number,
     upstream_request request,
--- a/wire/src/message_fields.hpp
+++ b/wire/src/message_fields.hpp
@@ -283,4 +283,25 @@
     };
 };
 
+template<>
+struct message_fields<crash_record>
+{
+    static constexpr std::tuple list{
+        message_field{"request", &crash_record::request},
+        message_field{"generation", &crash_record::generation},
+        message_field{"level", &crash_record::level},
+        message_field{"seconds_left", &crash_record::seconds_left},
+    };
+};
+
+template<>
+struct message_fields<crash_records>
+{
+    static constexpr std::tuple list{
+        message_field{"wanted", &crash_records::wanted},
+        message_field{"complete", &crash_records::complete},
+        message_field{"records", &crash_records::records},
+    };
+};
+
 } // namespace peridotward
