core, gateway: a crashing request is recognized when it comes from another machine

Cause: the address of a connection was taken for the identity of a caller.

A request has a second fingerprint now, without address and query. Crashes by different requests count for it, so that a caller who repeats one request alone puts no other out. The first fingerprint has the credentials (Authorization) too.

In virtual time with 1, 2, 3 and 500 callers, 1 to 740 instances: at most 3.

--- a/core/include/peridotward/core/quarantine/crash_history.hpp
+++ b/core/include/peridotward/core/quarantine/crash_history.hpp
@@ -3,7 +3,7 @@
 #include <peridotward/base/time.hpp>
 #include <peridotward/core/quarantine/crash_record.hpp>
 
-#include <array>
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
@@ -46,23 +46,47 @@
         std::uint32_t level = 0;
     };
 
+    /// \brief The marks of both fingerprints of a request.
+    struct marks
+    {
+        mark exact;
+        mark similar;
+
+        [[nodiscard]] std::uint32_t level() const noexcept
+        {
+            return std::max(exact.level, similar.level);
+        }
+    };
+
     [[nodiscard]] mark
     mark_of(request_fingerprint request, time_point now) const;
 
+    [[nodiscard]] marks
+    marks_of(const request_fingerprints& request, time_point now) const
+    {
+        return {mark_of(request.exact, now), mark_of(request.similar, now)};
+    }
+
     [[nodiscard]] request_trust
-    trust(request_fingerprint request, time_point now) const;
+    trust(const request_fingerprints& request, time_point now) const;
 
     /// \returns When a quarantined request is sent again.
-    [[nodiscard]] time_point
-    quarantined_until(request_fingerprint request) const;
+    [[nodiscard]] time_point quarantined_until(
+        const request_fingerprints& request, time_point now) const;
 
     /// \brief Records that an upstream crashed while it ran an attempt.
-    /// \param sent_with `mark_of` when the attempt was sent.
-    /// \returns Whether the level rose.
-    bool on_crash(request_fingerprint request, mark sent_with, time_point now);
+    ///
+    /// \remarks For the similar requests only crashes by different requests
+    /// count: those of one caller concern its own requests alone.
+    /// \param sent_with `marks_of` when the attempt was sent.
+    /// \returns The fingerprints whose level rose.
+    std::vector<request_fingerprint> on_crash(
+        const request_fingerprints& request,
+        const marks& sent_with,
+        time_point now);
 
     /// \brief Records a whole answer to an attempt that crashed no upstream.
-    void on_answered(request_fingerprint request, time_point now);
+    void on_answered(const request_fingerprints& request, time_point now);
 
     /// \brief Takes over what another instance knows.
     /// \returns Whether the level rose.
@@ -106,6 +130,9 @@
     };
     using record_map = std::unordered_map<request_fingerprint, known_request>;
 
+    /// \returns Whether the level rose.
+    bool raise(request_fingerprint request, mark sent_with, time_point now);
+    void on_answered(request_fingerprint request, time_point now);
     [[nodiscard]] bool
     answered_lately(request_fingerprint request, time_point now) const;
     [[nodiscard]] static crash_record record_of(
--- a/core/include/peridotward/core/quarantine/interrupted_requests.hpp
+++ b/core/include/peridotward/core/quarantine/interrupted_requests.hpp
@@ -22,8 +22,8 @@
     struct interrupted_request
     {
         replica_number replica = 0;
-        request_fingerprint request{};
-        crash_history::mark sent_with;
+        request_fingerprints request;
+        crash_history::marks sent_with;
         time_point at;
     };
 
--- a/core/src/quarantine/crash_history.cpp
+++ b/core/src/quarantine/crash_history.cpp
@@ -15,19 +15,24 @@
 }
 
 request_trust
-crash_history::trust(request_fingerprint request, time_point now) const
+crash_history::trust(const request_fingerprints& request, time_point now) const
 {
-    const auto level = mark_of(request, now).level;
+    const auto level = marks_of(request, now).level();
     if (level == 0)
         return request_trust::trusted;
     return level < quarantine_level ? request_trust::suspected
                                     : request_trust::quarantined;
 }
 
-time_point crash_history::quarantined_until(request_fingerprint request) const
+time_point crash_history::quarantined_until(
+    const request_fingerprints& request, time_point now) const
 {
-    const auto found = records_.find(request);
-    return found == records_.end() ? time_point{} : found->second.until;
+    auto until = now;
+    for (const auto fingerprint : {request.exact, request.similar}) {
+        if (mark_of(fingerprint, now).level >= quarantine_level)
+            until = std::max(until, records_.at(fingerprint).until);
+    }
+    return until;
 }
 
 bool crash_history::answered_lately(
@@ -69,7 +74,19 @@
     records_.erase(least);
 }
 
-bool crash_history::on_crash(
+std::vector<request_fingerprint> crash_history::on_crash(
+    const request_fingerprints& request, const marks& sent_with, time_point now)
+{
+    std::vector<request_fingerprint> raised;
+    if (raise(request.exact, sent_with.exact, now))
+        raised.push_back(request.exact);
+    if (sent_with.exact.level == 0 &&
+        raise(request.similar, sent_with.similar, now))
+        raised.push_back(request.similar);
+    return raised;
+}
+
+bool crash_history::raise(
     request_fingerprint request, mark sent_with, time_point now)
 {
     if (answered_lately(request, now))
@@ -86,6 +103,13 @@
     return true;
 }
 
+void crash_history::on_answered(
+    const request_fingerprints& request, time_point now)
+{
+    on_answered(request.exact, now);
+    on_answered(request.similar, now);
+}
+
 void crash_history::on_answered(request_fingerprint request, time_point now)
 {
     answered_[static_cast<std::uint64_t>(request) % answered_slots] = {
--- a/core/src/routing/request_fingerprint.cpp
+++ b/core/src/routing/request_fingerprint.cpp
@@ -6,17 +6,20 @@
 
 namespace peridotward {
 
-request_fingerprint fingerprint_of(const request_identity& request) noexcept
+request_fingerprints fingerprints_of(const request_identity& request) noexcept
 {
-    std::uint64_t hash = 0;
+    const auto path = request.target.substr(0, request.target.find('?'));
+    std::uint64_t similar = 0;
     for (const auto part :
-         {request.caller,
+         {request.credentials,
           request.method,
           request.host,
-          request.target,
+          path,
           request.body})
-        hash = hash_of(part, hash);
-    return request_fingerprint{hash};
+        similar = hash_of(part, similar);
+    const auto query = request.target.substr(path.size());
+    const auto exact = hash_of(request.caller, hash_of(query, similar));
+    return {request_fingerprint{exact}, request_fingerprint{similar}};
 }
 
 std::string to_text(request_fingerprint fingerprint)
--- a/core/tests/crash_history_exchange_test.cpp
+++ b/core/tests/crash_history_exchange_test.cpp
@@ -21,7 +21,19 @@
 constexpr milliseconds answer_time{20};
 /// The time within which the instances act on the third crash.
 constexpr milliseconds contact_time{4000};
-constexpr request_fingerprint crashing{1};
+constexpr std::uint64_t crashing_path = 1;
+
+constexpr request_fingerprints request(std::uint64_t caller, std::uint64_t path)
+{
+    return {
+        request_fingerprint{1000 * path + caller},
+        request_fingerprint{1000 * path}};
+}
+
+bool crashes(const request_fingerprints& sent)
+{
+    return sent.similar == request(0, crashing_path).similar;
+}
 
 /// Instances whose messages take one step and are lost at times.
 class suspicious_fleet
@@ -43,8 +55,8 @@
     struct running_request
     {
         std::size_t at;
-        request_fingerprint request;
-        crash_history::mark sent_with;
+        request_fingerprints request;
+        crash_history::marks sent_with;
         time_point ends;
     };
 
@@ -76,37 +88,38 @@
         for (const auto until = now_ + time; now_ < until; now_ += step_time) {
             if (interval > duration{} && now_ >= next_crash) {
                 next_crash += interval;
-                send(random_.below(size()), crashing);
+                send(
+                    random_.below(size()),
+                    request(random_.below(crashing_callers), crashing_path));
             }
             while (harmless_rate > 0 && now_ >= next_harmless) {
                 next_harmless += microseconds{
                     static_cast<std::int64_t>(1e6 / harmless_rate)};
                 send(
                     random_.below(size()),
-                    request_fingerprint{2 + random_.below(harmless_count)});
+                    request(1, 2 + random_.below(harmless_count)));
             }
             step();
         }
     }
 
-    void send(std::size_t at, request_fingerprint request)
+    void send(std::size_t at, const request_fingerprints& sent)
     {
         auto& receiver = *instances_[at];
-        if (receiver.history.trust(request, now_) ==
-            request_trust::quarantined) {
-            harmless_refused += request == crashing ? 0 : 1;
+        if (receiver.history.trust(sent, now_) == request_trust::quarantined) {
+            harmless_refused += crashes(sent) ? 0 : 1;
             return;
         }
-        if (request == crashing) {
+        if (crashes(sent)) {
             ++arrivals;
             late_arrivals +=
                 third_crash_ && now_ > *third_crash_ + contact_time ? 1 : 0;
         }
         running_.push_back(
             {at,
-             request,
-             receiver.history.mark_of(request, now_),
-             now_ + (request == crashing ? crash_time : answer_time)});
+             sent,
+             receiver.history.marks_of(sent, now_),
+             now_ + (crashes(sent) ? crash_time : answer_time)});
     }
 
     /// An instance that has just started takes the place.
@@ -127,7 +140,8 @@
 
     [[nodiscard]] bool quarantines(std::size_t index) const
     {
-        return instances_[index]->history.trust(crashing, now_) ==
+        return instances_[index]->history.trust(
+                   request(0, crashing_path), now_) ==
                request_trust::quarantined;
     }
 
@@ -139,6 +153,8 @@
         return count;
     }
 
+    /// Callers that send the crashing request, at random.
+    std::uint64_t crashing_callers = 1;
     std::size_t arrivals = 0;
     std::size_t late_arrivals = 0;
     std::size_t harmless_refused = 0;
@@ -197,20 +213,20 @@
         bool crashed = false;
         for (const auto& each : ended) {
             auto& history = instances_[each.at]->history;
-            if (each.request != crashing) {
+            if (!crashes(each.request)) {
                 history.on_answered(each.request, now_);
                 continue;
             }
             crashed = true;
             third_crash_ = ++crashes_ == 3 ? std::optional{now_} : third_crash_;
-            history.on_crash(crashing, each.sent_with, now_);
+            history.on_crash(each.request, each.sent_with, now_);
             poll(each.at);
         }
         if (!crashed)
             return;
         // The upstream that crashed was running all other requests too.
         for (const auto& each : std::exchange(running_, {})) {
-            if (each.request == crashing) {
+            if (crashes(each.request)) {
                 running_.push_back(each);
                 continue;
             }
@@ -256,11 +272,16 @@
     for (const std::size_t size : {1U, 8U, 79U, 740U}) {
         for (const auto interval :
              {milliseconds{50}, milliseconds{300}, milliseconds{6000}}) {
-            suspicious_fleet fleet{size};
-            fleet.run(seconds{30}, interval);
-            INFO(size << " instances, each " << interval.count() << " ms");
-            CHECK(fleet.late_arrivals <= 3);
-            CHECK(fleet.quarantining() == size);
+            for (const std::uint64_t callers : {1U, 2U, 3U, 500U}) {
+                suspicious_fleet fleet{size};
+                fleet.crashing_callers = callers;
+                fleet.run(seconds{40}, interval);
+                INFO(
+                    size << " instances, each " << interval.count()
+                         << " ms from " << callers << " callers");
+                CHECK(fleet.late_arrivals <= 3);
+                CHECK(fleet.quarantining() == size);
+            }
         }
     }
 }
--- a/core/tests/crash_history_test.cpp
+++ b/core/tests/crash_history_test.cpp
@@ -8,13 +8,21 @@
 namespace {
 
 constexpr time_point start{std::chrono::hours{1}};
-constexpr request_fingerprint crashing{1};
-constexpr request_fingerprint harmless{2};
+constexpr request_fingerprints request(std::uint64_t caller, std::uint64_t path)
+{
+    return {
+        request_fingerprint{1000 * path + caller},
+        request_fingerprint{1000 * path}};
+}
+
+constexpr auto crashing = request(1, 1);
+constexpr auto harmless = request(1, 2);
 
 /// Sends the request once and lets it crash its upstream.
-void crash(crash_history& history, request_fingerprint request, time_point now)
+void crash(
+    crash_history& history, const request_fingerprints& sent, time_point now)
 {
-    history.on_crash(request, history.mark_of(request, now), now);
+    history.on_crash(sent, history.marks_of(sent, now), now);
 }
 
 } // namespace
@@ -31,7 +39,7 @@
     CHECK(history.trust(crashing, start) == request_trust::quarantined);
     CHECK(history.quarantined() == 1);
     CHECK(
-        history.quarantined_until(crashing) ==
+        history.quarantined_until(crashing, start) ==
         start + crash_history::retention);
     history.expire(start + crash_history::retention);
     CHECK(history.size() == 0);
@@ -44,10 +52,37 @@
     "[quarantine]")
 {
     crash_history history;
-    const auto sent_with = history.mark_of(harmless, start);
+    const auto sent_with = history.marks_of(harmless, start);
     for (int i = 0; i < 10; ++i)
         history.on_crash(harmless, sent_with, start);
-    CHECK(history.mark_of(harmless, start).level == 1);
+    CHECK(history.marks_of(harmless, start).level() == 1);
+}
+
+// Guards against a request that comes from another machine of its caller each
+// time.
+TEST_CASE(
+    "crash history: similar requests of several callers count together",
+    "[quarantine]")
+{
+    crash_history history;
+    for (std::uint64_t caller = 1; caller <= 3; ++caller)
+        crash(history, request(caller, 1), start);
+    CHECK(history.trust(request(4, 1), start) == request_trust::quarantined);
+    CHECK(history.trust(request(4, 2), start) == request_trust::trusted);
+}
+
+TEST_CASE(
+    "crash history: another caller's similar request is only suspected",
+    "[quarantine]")
+{
+    crash_history history;
+    for (int i = 0; i < 3; ++i)
+        crash(history, crashing, start);
+    CHECK(history.trust(crashing, start) == request_trust::quarantined);
+    CHECK(history.trust(request(2, 1), start) == request_trust::suspected);
+    history.on_answered(request(2, 1), start);
+    CHECK(history.trust(request(2, 1), start) == request_trust::trusted);
+    CHECK(history.trust(crashing, start) == request_trust::quarantined);
 }
 
 TEST_CASE("crash history: an answer clears a request", "[quarantine]")
@@ -55,7 +90,7 @@
     crash_history history;
     crash(history, harmless, start);
     crash(history, harmless, start);
-    const auto sent_before = history.mark_of(harmless, start);
+    const auto sent_before = history.marks_of(harmless, start);
     history.on_answered(harmless, start);
     CHECK(history.trust(harmless, start) == request_trust::trusted);
 
@@ -70,11 +105,11 @@
     {
         const auto later = start + crash_history::answer_memory;
         history.on_crash(harmless, sent_before, later);
-        CHECK(history.mark_of(harmless, later).level == 1);
+        CHECK(history.marks_of(harmless, later).level() == 1);
     }
     SECTION("what others know from before doesn't return")
     {
-        history.merge({harmless, 0, 2, 100}, start + seconds{15});
+        history.merge({harmless.exact, 0, 2, 100}, start + seconds{15});
         CHECK(
             history.trust(harmless, start + seconds{15}) ==
             request_trust::trusted);
@@ -87,7 +122,7 @@
 {
     crash_history history;
     history.on_answered(harmless, start);
-    CHECK_FALSE(history.merge({harmless, 0, 3, 100}, start + seconds{1}));
+    CHECK_FALSE(history.merge({harmless.exact, 0, 3, 100}, start + seconds{1}));
     const auto told = history.take_changed(10, start + seconds{1});
     REQUIRE(told.size() == 1);
     CHECK(told.front().generation == 1);
@@ -99,10 +134,11 @@
     "[quarantine]")
 {
     crash_history history;
-    CHECK(history.merge({crashing, 0, 3, 60}, start));
-    CHECK_FALSE(history.merge({crashing, 0, 3, 600}, start + seconds{30}));
-    CHECK(history.quarantined_until(crashing) == start + seconds{60});
-    CHECK_FALSE(history.merge({crashing, 0, 3, 0}, start + seconds{90}));
+    CHECK(history.merge({crashing.exact, 0, 3, 60}, start));
+    CHECK_FALSE(
+        history.merge({crashing.exact, 0, 3, 600}, start + seconds{30}));
+    CHECK(history.quarantined_until(crashing, start) == start + seconds{60});
+    CHECK_FALSE(history.merge({crashing.exact, 0, 3, 0}, start + seconds{90}));
     CHECK(
         history.trust(crashing, start + seconds{90}) == request_trust::trusted);
 }
@@ -115,9 +151,9 @@
     for (int i = 0; i < 3; ++i)
         crash(history, crashing, start);
     for (std::uint64_t i = 0; i < 3 * crash_history::max_records; ++i) {
-        const request_fingerprint request{100 + i};
-        crash(history, request, start + seconds{1});
-        history.merge({request, 0, 2, 600}, start + seconds{1});
+        const auto other = request(1, 100 + i);
+        crash(history, other, start + seconds{1});
+        history.merge({other.exact, 0, 2, 600}, start + seconds{1});
     }
     CHECK(history.size() == crash_history::max_records);
     CHECK(
@@ -138,7 +174,7 @@
     CHECK(interrupted.take(3, start + seconds{4}).empty());
     const auto taken = interrupted.take(1, start + seconds{4});
     REQUIRE(taken.size() == 2);
-    CHECK(taken.front().request == crashing);
+    CHECK(taken.front().request.exact == crashing.exact);
     CHECK(interrupted.take(2, start + seconds{6}).empty());
     for (std::size_t i = 0; i < 2 * interrupted_requests::max_requests; ++i)
         interrupted.add({5, crashing, {}, start + seconds{7}});
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -97,14 +97,14 @@
     void log_rate_limit(replica_number number, std::string_view source);
     void log_retry_budgets(time_point now);
     /// \returns Whether the request was refused because it crashes upstreams.
-    bool
-    refuse_quarantined(http_session& session, request_fingerprint fingerprint);
+    bool refuse_quarantined(
+        http_session& session, const request_fingerprints& fingerprints);
     /// \brief Records that a replica ended the connection on which it ran the
     /// request.
     void on_interrupted(
         replica_number number,
-        request_fingerprint fingerprint,
-        crash_history::mark sent_with);
+        const request_fingerprints& fingerprints,
+        const crash_history::marks& sent_with);
     /// \brief Records that a replica has ended; the requests that it
     /// interrupted may have caused that.
     void on_replica_ended(replica_number number);
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -87,15 +87,15 @@
     http_session& session,
     forwarded_request request,
     std::string request_id,
-    request_fingerprint fingerprint)
+    const request_fingerprints& fingerprints)
     : owner_{&owner},
       session_{&session},
       request_{std::move(request)},
       profile_{&owner.profiles_[request_.route().name]},
       request_id_{std::move(request_id)},
-      fingerprint_{fingerprint},
-      crash_mark_{
-          owner.crash_history_.mark_of(fingerprint, owner.loop_->now())},
+      fingerprints_{fingerprints},
+      crash_marks_{
+          owner.crash_history_.marks_of(fingerprints, owner.loop_->now())},
       head_{head_for_upstreams(session.request(), *owner.names_)},
       body_{session.request().body},
       has_length_{session.request().has_length},
@@ -114,7 +114,7 @@
 
 void forward_operation::begin()
 {
-    if (crash_mark_.level > 0)
+    if (crash_marks_.level() > 0)
         request_.limit_to_trial();
     request_.begin(
         owner_->context(), *profile_, owner_->loop_->now(), actions_);
@@ -226,7 +226,8 @@
             event_severity::notable,
             "attempt_failed",
             {{"request", request_id_},
-             {"fingerprint", to_text(fingerprint_)},
+             {"fingerprint", to_text(fingerprints_.exact)},
+             {"similar", to_text(fingerprints_.similar)},
              {"route", request_.route().name},
              {"replica", target.id},
              {"service", target.service},
@@ -237,7 +238,7 @@
     }
     if (outcome == forward_outcome::interrupted)
         owner_->on_interrupted(
-            request_.replica_of(attempt), fingerprint_, crash_mark_);
+            request_.replica_of(attempt), fingerprints_, crash_marks_);
     else if (outcome == forward_outcome::misdirected)
         owner_->on_replica_ended(request_.replica_of(attempt));
     const bool answer_used = request_.on_result(
@@ -307,7 +308,7 @@
     const bool success =
         end == forward_end::complete || end == forward_end::partial;
     if (success && request_.survived())
-        owner_->crash_history_.on_answered(fingerprint_, owner_->loop_->now());
+        owner_->crash_history_.on_answered(fingerprints_, owner_->loop_->now());
     if (session_ == nullptr)
         return;
     if (success)
@@ -383,7 +384,7 @@
         routine ? event_severity::routine : event_severity::notable,
         "request_end",
         {{"request", request_id_},
-         {"fingerprint", to_text(fingerprint_)},
+         {"fingerprint", to_text(fingerprints_.exact)},
          {"route", request_.route().name},
          {"outcome", name_of(end)},
          {"took", elapsed},
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -18,7 +18,7 @@
         http_session& session,
         forwarded_request request,
         std::string request_id,
-        request_fingerprint fingerprint);
+        const request_fingerprints& fingerprints);
     ~forward_operation() override;
 
     /// \brief Sends the first attempts.
@@ -58,8 +58,8 @@
     forwarded_request request_;
     latency_profile* profile_;
     std::string request_id_;
-    request_fingerprint fingerprint_;
-    crash_history::mark crash_mark_; ///< When the request arrived.
+    request_fingerprints fingerprints_;
+    crash_history::marks crash_marks_; ///< When the request arrived.
     std::string head_; ///< Request line and fields common to all attempts.
     std::string body_;
     bool has_length_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -212,10 +212,10 @@
 
 void forwarder::on_interrupted(
     replica_number number,
-    request_fingerprint fingerprint,
-    crash_history::mark sent_with)
+    const request_fingerprints& fingerprints,
+    const crash_history::marks& sent_with)
 {
-    interrupted_requests_.add({number, fingerprint, sent_with, loop_->now()});
+    interrupted_requests_.add({number, fingerprints, sent_with, loop_->now()});
     pool_.probe(number);
 }
 
@@ -238,29 +238,30 @@
          {"requests", interrupted.size()}});
     bool raised = false;
     for (const auto& each : interrupted) {
-        if (!crash_history_.on_crash(each.request, each.sent_with, now))
-            continue;
-        raised = true;
-        log_crash_level(each.request, "own");
+        for (const auto fingerprint :
+             crash_history_.on_crash(each.request, each.sent_with, now)) {
+            raised = true;
+            log_crash_level(fingerprint, "own");
+        }
     }
     if (raised)
         exchange_crash_history();
 }
 
 bool forwarder::refuse_quarantined(
-    http_session& session, request_fingerprint fingerprint)
+    http_session& session, const request_fingerprints& fingerprints)
 {
     const auto now = loop_->now();
-    if (crash_history_.trust(fingerprint, now) != request_trust::quarantined)
+    if (crash_history_.trust(fingerprints, now) != request_trust::quarantined)
         return false;
     stats_->count("quarantined_requests_total");
     refuse(
         session,
         503,
-        "not run: request " + to_text(fingerprint) +
+        "not run: request " + to_text(fingerprints.exact) +
             " has crashed the upstreams that ran it",
         std::chrono::ceil<milliseconds>(
-            crash_history_.quarantined_until(fingerprint) - now));
+            crash_history_.quarantined_until(fingerprints, now) - now));
     return true;
 }
 
@@ -337,13 +338,14 @@
         refuse(session, 404, "no route has this host and path");
         return;
     }
-    const auto fingerprint = fingerprint_of(
+    const auto fingerprints = fingerprints_of(
         {session.caller_host(),
+         request.fields.find("Authorization").value_or(""),
          request.method,
          *host,
          request.target,
          request.body});
-    if (refuse_quarantined(session, fingerprint))
+    if (refuse_quarantined(session, fingerprints))
         return;
     const auto time_left_text = request.fields.find(names_->time_left);
     const auto stated_time_left =
@@ -368,7 +370,7 @@
             session,
             forwarded_request{config_, *route, std::move(services), times},
             std::string{*id},
-            fingerprint}};
+            fingerprints}};
     session.state = operation;
     operation->begin();
 }
