--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -111,6 +111,7 @@
     void
     log_crash_level(request_fingerprint fingerprint, std::string_view source);
     void exchange_crash_history();
+    void check_upstream_contact(time_point now);
     [[nodiscard]] forward_context context() noexcept
     {
         return {&catalog_, &replica_selector_, &retry_budgets_, &fleet_};
@@ -141,6 +142,7 @@
     time_point next_budget_log_;
     std::size_t open_requests_ = 0;
     bool closing_ = false;
+    bool contact_lost_ = false; ///< As logged.
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/core/admission/send_queue.hpp>
 #include <peridotward/core/discovery/upstream_catalog.hpp>
+#include <peridotward/core/placement/upstream_contact.hpp>
 #include <peridotward/gateway/header_names.hpp>
 #include <peridotward/gateway/reactor.hpp>
 #include <peridotward/gateway/upstream_connection.hpp>
@@ -109,6 +110,9 @@
     /// \returns The number of connections opened since the start.
     [[nodiscard]] std::uint64_t opened() const noexcept { return opened_; }
 
+    /// \returns Whether this instance reaches any upstream.
+    [[nodiscard]] upstream_contact& contact() noexcept { return contact_; }
+
     [[nodiscard]] reactor& loop() noexcept { return *loop_; }
     [[nodiscard]] upstream_catalog& catalog() noexcept { return *catalog_; }
     [[nodiscard]] const header_names& names() const noexcept { return *names_; }
@@ -144,6 +148,7 @@
     /// By replica number. A deque, so that references stay valid when a report
     /// causes another `send` that adds a replica.
     std::deque<replica_connections> connections_;
+    upstream_contact contact_;
     std::uint64_t opened_ = 0;
     std::size_t buffered_bytes_ = 0;
 };
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -248,6 +248,19 @@
         exchange_crash_history();
 }
 
+void forwarder::check_upstream_contact(time_point now)
+{
+    auto& contact = pool_.contact();
+    contact.check(catalog_.live().size(), now);
+    if (std::exchange(contact_lost_, contact.lost()) == contact.lost())
+        return;
+    log_->write(
+        now,
+        event_severity::notable,
+        contact.lost() ? "upstreams_lost" : "upstreams_regained",
+        {{"replicas", catalog_.live().size()}});
+}
+
 bool forwarder::refuse_quarantined(
     http_session& session, const request_fingerprints& fingerprints)
 {
@@ -407,6 +420,7 @@
 {
     log_retry_budgets(now);
     exchange_crash_history();
+    check_upstream_contact(now);
     std::vector<outgoing_message> requests;
     rate_share_exchange_.poll(fleet_, now, requests);
     if (!requests.empty() && send_to_peers)
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -85,6 +85,7 @@
     watched_events_ = EPOLLIN | EPOLLOUT;
     pool_->loop().add(socket_.descriptor(), watched_events_, *this);
     intrusive_ptr_add_ref(this); // The reactor's reference, until `close`.
+    pool_->contact().on_tried(replica_, pool_->loop().now());
 }
 
 void upstream_connection::set_events(std::uint32_t events)
@@ -105,6 +106,7 @@
     if (phase_ == phase::connecting)
         return;
     phase_ = phase::busy;
+    pool_->contact().on_tried(replica_, pool_->loop().now());
     flush();
 }
 
@@ -127,6 +129,7 @@
 
 void upstream_connection::on_connected()
 {
+    pool_->contact().on_heard();
     set_events(EPOLLIN);
     if (!request_.owner) {
         phase_ = phase::idle;
@@ -175,6 +178,10 @@
         ::recv(socket_.descriptor(), buffer.data(), buffer.size(), 0);
     if (received < 0 && (errno == EAGAIN || errno == EINTR))
         return;
+    if (received >= 0)
+        pool_->contact().on_heard();
+    else
+        pool_->contact().on_tried(replica_, pool_->loop().now());
     if (received <= 0) {
         on_connection_end(forward_outcome::interrupted, received == 0);
         return;
