core, gateway: an instance that reaches no upstream lets others serve its requests

Callers of an instance that was cut off from all upstreams were served 3 to 6 times in 100, those of the others always: their requests waited for their whole time, for as long as the cut lasted.

Cause: nothing in an instance told that it reaches no upstream at all, so it kept sending to them and stayed in the directory, while every other instance reached them. Leaving the directory alone can't mend it: callers keep an address for seconds, and a refused connection is a failed attempt too.

Now an instance that heard no upstream for 0.6 s, though three were tried, passes each request on to another instance, which serves it like one of its own and never passes it on again. Only what has not run is tried at a further instance. It leaves the directory once another one has answered for it, and takes all back at the first sign of an upstream. Where nobody reaches an upstream, requests are refused at once.

--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/core/admission/retry_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
+#include <peridotward/core/membership/relay_targets.hpp>
 #include <peridotward/core/placement/rate_share_exchange.hpp>
 #include <peridotward/core/quarantine/crash_history_exchange.hpp>
 #include <peridotward/core/quarantine/interrupted_requests.hpp>
@@ -21,6 +22,7 @@
 namespace peridotward {
 
 class forward_operation;
+class relay_operation;
 
 /// \brief Routes callers' requests and forwards them to upstreams.
 class forwarder final : public http_handler
@@ -57,6 +59,13 @@
     /// Called with the messages for other instances.
     std::function<void(std::vector<outgoing_message>)> send_to_peers;
 
+    /// Returns the instances that may serve requests in place of this one.
+    std::function<std::vector<instance_candidate>()> relay_candidates;
+
+    /// \returns Whether other instances serve the requests of this one, which
+    /// reaches no upstream; the directory should list only them.
+    [[nodiscard]] bool replaced() const noexcept { return replaced_; }
+
     /// \brief Applies the retry and cold-start limits of the changed settings.
     void apply_settings();
 
@@ -84,12 +93,14 @@
 
 private:
     friend class forward_operation;
+    friend class relay_operation;
 
     void refuse(
         http_session& session,
         std::uint32_t status,
         std::string_view reason,
-        milliseconds retry_after = {});
+        milliseconds retry_after = {},
+        std::string_view extra_fields = {});
     [[nodiscard]] retry_schedule&
     retry_schedule_of(const forwarded_request& request);
     /// \param source What said it: `answer`, or the instance that told this
@@ -112,6 +123,18 @@
     log_crash_level(request_fingerprint fingerprint, std::string_view source);
     void exchange_crash_history();
     void check_upstream_contact(time_point now);
+    void probe_upstreams(time_point now);
+    /// \brief Lets another instance serve a request.
+    void relay(
+        http_session& session,
+        const forward_route& route,
+        const forward_times& times,
+        const std::string& request_id);
+    /// \brief Refuses a request that no instance can serve now.
+    void refuse_unreachable(http_session& session);
+    /// \returns The network address of the caller, also if another instance
+    /// relayed the request.
+    [[nodiscard]] std::string_view caller_of(const http_session& session) const;
     [[nodiscard]] forward_context context() noexcept
     {
         return {&catalog_, &replica_selector_, &retry_budgets_, &fleet_};
@@ -129,6 +152,7 @@
     crash_history crash_history_;
     crash_history_exchange crash_history_exchange_;
     interrupted_requests interrupted_requests_;
+    relay_targets relay_targets_;
     retry_budgets retry_budgets_;
     fleet_view fleet_;
     upstream_pool pool_;
@@ -143,6 +167,12 @@
     std::size_t open_requests_ = 0;
     bool closing_ = false;
     bool contact_lost_ = false; ///< As logged.
+    bool replaced_ = false;
+    time_point next_probe_;
+    /// The requests that this instance forwards to upstreams.
+    boost::intrusive::
+        list<request_state, boost::intrusive::constant_time_size<false>>
+            operations_;
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -21,6 +21,10 @@
     std::string leaving;         ///< `1`: the upstream that answers is leaving.
     std::string part_signatures; ///< Signatures of the parts of an answer.
     std::string parts_missing;   ///< Number of parts left out of an answer.
+    /// Only between instances. In a request: the caller's network address; the
+    /// receiver doesn't relay it again. In an answer: the request has not run,
+    /// since the sender reaches no upstream.
+    std::string relayed = "Peridotward-Relayed";
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/peer_gossip.hpp
+++ b/gateway/include/peridotward/gateway/peer_gossip.hpp
@@ -58,6 +58,10 @@
     /// \returns All instances that serve callers, including this one.
     [[nodiscard]] std::vector<instance_candidate> serving() const;
 
+    /// \returns The other instances that shut down and still answer requests.
+    /// Their load is `full`, so that others are preferred.
+    [[nodiscard]] std::vector<instance_candidate> leaving() const;
+
     /// \returns The ids of the other instances that aren't known to be dead.
     [[nodiscard]] std::vector<std::string> running() const;
 
--- a/gateway/include/peridotward/gateway/request_state.hpp
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 namespace peridotward {
@@ -8,13 +9,21 @@
 /// last attempt has ended.
 class request_state
     : public boost::
-          intrusive_ref_counter<request_state, boost::thread_unsafe_counter>
+          intrusive_ref_counter<request_state, boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
     request_state() = default;
     request_state(const request_state&) = delete;
     request_state& operator=(const request_state&) = delete;
     virtual ~request_state() = default;
+
+    /// \brief Called when the caller disconnects before the answer.
+    virtual void on_caller_disconnect() {}
+
+    /// \brief Called when this instance has lost contact with all upstreams.
+    virtual void on_upstreams_lost() {}
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/socket.hpp
+++ b/gateway/include/peridotward/gateway/socket.hpp
@@ -47,10 +47,13 @@
 /// \returns A non-blocking TCP listener on `address`, or `io_failed`.
 [[nodiscard]] result<unique_socket> listen_tcp(const endpoint& address);
 
+/// \param source Own address to connect from; empty: chosen by the system.
 /// \returns A non-blocking TCP socket that is connecting or connected to
 /// `address`, or `io_failed`.
-[[nodiscard]] result<unique_socket>
-connect_tcp(const endpoint& address, keep_alive_times times);
+[[nodiscard]] result<unique_socket> connect_tcp(
+    const endpoint& address,
+    keep_alive_times times,
+    const std::string& source = {});
 
 /// \returns A non-blocking UDP socket bound to `address`, or `io_failed`.
 [[nodiscard]] result<unique_socket> bind_udp(const endpoint& address);
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -50,6 +50,9 @@
     /// unless one is being opened.
     void probe(replica_number number);
 
+    /// \brief Closes the connections that carry no request.
+    void close_unused();
+
     /// \brief Ends all attempts of `owner` without reporting them.
     void abort_all(const attempt_owner& owner);
 
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -1,10 +1,10 @@
 #include "forward_operation.hpp"
+#include "forwarded_fields.hpp"
 
 #include <peridotward/core/budgets/connection_share.hpp>
 #include <peridotward/core/gather/record_merge.hpp>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace peridotward {
@@ -19,69 +19,8 @@
 /// of how long a replica that isn't paused needs at most.
 constexpr int answer_latency_factor = 2;
 
-constexpr std::array<std::string_view, 9> connection_fields{
-    "Connection",
-    "Keep-Alive",
-    "Proxy-Connection",
-    "Proxy-Authenticate",
-    "TE",
-    "Trailer",
-    "Transfer-Encoding",
-    "Upgrade",
-    "Content-Length"};
-
-bool list_contains(std::string_view list, std::string_view word) noexcept
-{
-    while (!list.empty()) {
-        const auto comma = std::min(list.find(','), list.size());
-        auto item = list.substr(0, comma);
-        while (!item.empty() && item.front() == ' ')
-            item.remove_prefix(1);
-        while (!item.empty() && item.back() == ' ')
-            item.remove_suffix(1);
-        if (equals_ignoring_case(item, word))
-            return true;
-        list.remove_prefix(std::min(comma + 1, list.size()));
-    }
-    return false;
-}
-
-void add_field(std::string& to, std::string_view name, std::string_view value)
-{
-    to += name;
-    to += ": ";
-    to += value;
-    to += "\r\n";
-}
-
-std::string
-head_for_upstreams(const request_message& from, const header_names& names)
-{
-    std::string head = from.method + " " + from.target + " HTTP/1.1\r\n";
-    const auto connection = from.fields.find("Connection").value_or("");
-    for (std::size_t i = 0; i < from.fields.size(); ++i) {
-        const auto field = from.fields.at(i);
-        const bool replaced =
-            equals_ignoring_case(field.name, names.time_left) ||
-            equals_ignoring_case(field.name, names.expected_id);
-        if (!replaced && !is_hop_by_hop(field.name, connection))
-            add_field(head, field.name, field.value);
-    }
-    return head;
-}
-
 } // namespace
 
-bool is_hop_by_hop(std::string_view name, std::string_view connection) noexcept
-{
-    const auto same = [&](std::string_view other) {
-        return equals_ignoring_case(name, other);
-    };
-    return std::any_of(
-               connection_fields.begin(), connection_fields.end(), same) ||
-           (!connection.empty() && list_contains(connection, name));
-}
-
 forward_operation::forward_operation(
     forwarder& owner,
     http_session& session,
@@ -96,7 +35,7 @@
       fingerprints_{fingerprints},
       crash_marks_{
           owner.crash_history_.marks_of(fingerprints, owner.loop_->now())},
-      head_{head_for_upstreams(session.request(), *owner.names_)},
+      head_{forwarded_request_head(session.request(), *owner.names_)},
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
@@ -105,6 +44,7 @@
     bodies_.resize(request_.part_count());
     signatures_.resize(request_.part_count());
     ++owner_->open_requests_;
+    owner_->operations_.push_back(*this);
 }
 
 forward_operation::~forward_operation()
@@ -252,26 +192,12 @@
         answer->fields.find(owner_->names_->signature) &&
         (answer->status < 200 || answer->status >= 300)) {
         failure_.received = true;
-        failure_.head = head_of(*answer);
+        failure_.head = forwarded_answer_head(*answer, *owner_->names_);
         failure_.body = std::move(answer->body);
     }
     execute_actions();
 }
 
-std::string forward_operation::head_of(const response_message& answer) const
-{
-    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
-    head += answer.reason;
-    head += "\r\n";
-    const auto connection = answer.fields.find("Connection").value_or("");
-    for (std::size_t i = 0; i < answer.fields.size(); ++i) {
-        const auto field = answer.fields.at(i);
-        if (!is_hop_by_hop(field.name, connection))
-            add_field(head, field.name, field.value);
-    }
-    return head;
-}
-
 void forward_operation::store_part(
     std::uint32_t attempt, response_message& answer)
 {
@@ -280,7 +206,7 @@
     signatures_[part] =
         answer.fields.find(owner_->names_->signature).value_or("");
     if (!request_.route().scatters())
-        answer_head_ = head_of(answer);
+        answer_head_ = forwarded_answer_head(answer, *owner_->names_);
 }
 
 void forward_operation::withdraw_unneeded()
@@ -414,19 +340,35 @@
          {"rate_limited", unusable.rate_limited}});
 }
 
-void forward_operation::abandon()
+void forward_operation::on_caller_disconnect()
 {
-    const boost::intrusive_ptr<forward_operation> guard{this};
     session_ = nullptr;
     if (request_.ended())
         return;
-    request_.abandon();
-    reactor::disarm(timer_);
-    --owner_->open_requests_;
     owner_->stats_->record_request(
         request_.route().name,
         "caller_left",
         owner_->loop_->now() - request_.times().arrived);
+    abandon();
+}
+
+void forward_operation::on_upstreams_lost()
+{
+    const bool repeatable = request_.route().safety == retry_safety::idempotent;
+    if (session_ == nullptr || request_.ended() || !repeatable)
+        return;
+    const boost::intrusive_ptr<forward_operation> guard{this};
+    auto& session = *std::exchange(session_, nullptr);
+    abandon();
+    owner_->relay(session, request_.route(), request_.times(), request_id_);
+}
+
+void forward_operation::abandon()
+{
+    const boost::intrusive_ptr<forward_operation> guard{this};
+    request_.abandon();
+    reactor::disarm(timer_);
+    --owner_->open_requests_;
     for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
         if (request_.open(i))
             owner_->catalog_.at(request_.replica_of(i)).health.on_cancelled();
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -24,8 +24,11 @@
     /// \brief Sends the first attempts.
     void begin();
 
-    /// \brief Ends all attempts because the caller has disconnected.
-    void abandon();
+    void on_caller_disconnect() override;
+
+    /// \brief Hands the request over to another instance, unless it may run
+    /// only once.
+    void on_upstreams_lost() override;
 
 private:
     struct failed_answer
@@ -45,7 +48,8 @@
     [[nodiscard]] std::string
     serialize_attempt(std::uint32_t attempt) const override;
     void withdraw_unneeded();
-    [[nodiscard]] std::string head_of(const response_message& answer) const;
+    /// \brief Ends all attempts without an answer to the caller.
+    void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
     void finish(forward_end end);
     void answer_parts(http_session& session);
@@ -74,9 +78,4 @@
     reactor_timer timer_;
 };
 
-/// \returns Whether a header field is hop-by-hop and so isn't forwarded.
-/// \param connection The value of the message's Connection field.
-[[nodiscard]] bool
-is_hop_by_hop(std::string_view name, std::string_view connection) noexcept;
-
 } // namespace peridotward
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -1,4 +1,6 @@
 #include "forward_operation.hpp"
+#include "forwarded_fields.hpp"
+#include "relay_operation.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -36,6 +38,10 @@
 /// Max accepted remaining time of a caller.
 constexpr milliseconds max_time_left{600'000};
 
+/// Interval between probes of silent upstreams, and upstreams in each.
+constexpr milliseconds probe_interval{250};
+constexpr std::size_t probed_upstreams = 3;
+
 std::optional<milliseconds> parse_time(std::string_view text)
 {
     std::int64_t value = 0;
@@ -82,6 +88,7 @@
           catalog_, settings.cold_starts, settings.domain, random_},
       rate_share_exchange_{catalog_, replica_selector_, random_},
       crash_history_exchange_{crash_history_, random_},
+      relay_targets_{random_},
       retry_budgets_{settings.retries},
       pool_{loop, catalog_, names}
 {
@@ -248,10 +255,22 @@
         exchange_crash_history();
 }
 
+void forwarder::probe_upstreams(time_point now)
+{
+    const auto live = catalog_.live();
+    if (now < next_probe_ || live.empty())
+        return;
+    next_probe_ = now + probe_interval;
+    for (std::size_t i = 0; i < probed_upstreams; ++i)
+        pool_.probe(live[random_.below(live.size())]);
+}
+
 void forwarder::check_upstream_contact(time_point now)
 {
     auto& contact = pool_.contact();
     contact.check(catalog_.live().size(), now);
+    if (contact.silent(now))
+        probe_upstreams(now);
     if (std::exchange(contact_lost_, contact.lost()) == contact.lost())
         return;
     log_->write(
@@ -259,6 +278,51 @@
         event_severity::notable,
         contact.lost() ? "upstreams_lost" : "upstreams_regained",
         {{"replicas", catalog_.live().size()}});
+    replaced_ = false;
+    if (!contact.lost())
+        return;
+    std::vector<boost::intrusive_ptr<request_state>> open;
+    for (auto& each : operations_)
+        open.emplace_back(&each);
+    for (const auto& each : open)
+        each->on_upstreams_lost();
+    // Bytes that the cut holds up would arrive at its end.
+    pool_.close_unused();
+}
+
+void forwarder::refuse_unreachable(http_session& session)
+{
+    const auto now = loop_->now();
+    refuse(
+        session,
+        503,
+        "not run: no upstream can be reached",
+        retry_schedules_[""].reserve(0, now + probe_interval, now),
+        names_->relayed + ": no\r\n");
+}
+
+void forwarder::relay(
+    http_session& session,
+    const forward_route& route,
+    const forward_times& times,
+    const std::string& request_id)
+{
+    const boost::intrusive_ptr<relay_operation> operation{
+        new relay_operation{*this, session, route, times, request_id}};
+    session.state = operation;
+    operation->begin();
+}
+
+std::string_view forwarder::caller_of(const http_session& session) const
+{
+    const auto relayed = session.request().fields.find(names_->relayed);
+    const auto& host = session.caller_host();
+    const bool from_instance = std::any_of(
+        fleet_.others.begin(), fleet_.others.end(), [&](const auto& id) {
+            return id.size() > host.size() && id.starts_with(host) &&
+                   id[host.size()] == ':';
+        });
+    return relayed && from_instance ? *relayed : host;
 }
 
 bool forwarder::refuse_quarantined(
@@ -293,7 +357,8 @@
     http_session& session,
     std::uint32_t status,
     std::string_view reason,
-    milliseconds retry_after)
+    milliseconds retry_after,
+    std::string_view extra_fields)
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head += reason_phrase(status);
@@ -301,6 +366,7 @@
     if (retry_after > milliseconds{}) {
         head += "Retry-After: " + seconds_text(retry_after) + "\r\n";
     }
+    head += extra_fields;
     const auto id = session.request().fields.find(names_->request_id);
     stats_->count("refusals_total{status=\"" + std::to_string(status) + "\"}");
     log_->write(
@@ -352,7 +418,7 @@
         return;
     }
     const auto fingerprints = fingerprints_of(
-        {session.caller_host(),
+        {caller_of(session),
          request.fields.find("Authorization").value_or(""),
          request.method,
          *host,
@@ -374,6 +440,13 @@
         caller.time_left = *stated_time_left;
     caller.round_trip = session.round_trip();
     const auto times = request_deadlines_[route->name].compute(*route, caller);
+    if (pool_.contact().lost()) {
+        if (request.fields.find(names_->relayed))
+            refuse_unreachable(session);
+        else
+            relay(session, *route, times, std::string{*id});
+        return;
+    }
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
@@ -392,7 +465,7 @@
 {
     const auto operation = std::exchange(session.state, nullptr);
     if (operation)
-        static_cast<forward_operation&>(*operation).abandon();
+        operation->on_caller_disconnect();
 }
 
 void forwarder::log_retry_budgets(time_point now)
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -6,6 +6,7 @@
 #include <peridotward/gateway/gateway.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace peridotward {
@@ -107,6 +108,8 @@
     peers.set_config_version(
         forwarding.config() ? forwarding.config()->version : 0);
     forwarding.check(now);
+    if (has_upstreams && !stop_time)
+        peers.set_ready(!forwarding.replaced());
     callers_listener.check(now);
     ready_listener.check(now);
     directory_listener.check(now);
@@ -180,6 +183,13 @@
     impl.forwarding.send_to_peers = [this](auto messages) {
         impl_->peers.send(std::move(messages));
     };
+    impl.forwarding.relay_candidates = [this] {
+        auto candidates = impl_->peers.serving();
+        auto leaving = impl_->peers.leaving();
+        std::move(
+            leaving.begin(), leaving.end(), std::back_inserter(candidates));
+        return candidates;
+    };
     impl.peers.on_change = [this] { impl_->on_members_changed(); };
     return impl.callers_listener.open(listen.callers)
         .and_then([&] { return impl.ready_listener.open(listen.ready); })
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -230,6 +230,23 @@
     return found;
 }
 
+std::vector<instance_candidate> peer_gossip::leaving() const
+{
+    std::vector<instance_candidate> found;
+    for (const auto& [id, member] : members_.members()) {
+        const auto& update = member.latest_update;
+        if (update.state == member_state::leaving)
+            found.push_back(
+                {id,
+                 update.domain,
+                 update.callers,
+                 false,
+                 update.capacity,
+                 member_load::full});
+    }
+    return found;
+}
+
 std::vector<std::string> peer_gossip::running() const
 {
     std::vector<std::string> found;
--- /dev/null
+++ b/gateway/src/relay_operation.cpp
@@ -0,0 +1,261 @@
+#include "forwarded_fields.hpp"
+#include "relay_operation.hpp"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace peridotward {
+
+namespace {
+
+constexpr std::size_t read_bytes = 16384;
+constexpr keep_alive_times relay_keep_alive{seconds{1}, seconds{1}, 1};
+constexpr std::uint32_t service_unavailable = 503;
+
+} // namespace
+
+relay_operation::relay_operation(
+    forwarder& owner,
+    http_session& session,
+    const forward_route& route,
+    const forward_times& times,
+    std::string request_id)
+    : owner_{&owner},
+      session_{&session},
+      route_{route.name},
+      times_{times},
+      request_id_{std::move(request_id)},
+      head_{forwarded_request_head(session.request(), *owner.names_)},
+      caller_{session.caller_host()},
+      body_{session.request().body},
+      has_length_{session.request().has_length},
+      bodiless_{session.request().method == "HEAD"},
+      timer_{[this] { on_timeout(); }}
+{
+    ++owner_->open_requests_;
+}
+
+relay_operation::~relay_operation()
+{
+    reactor::disarm(timer_);
+}
+
+void relay_operation::begin()
+{
+    try_next();
+}
+
+void relay_operation::try_next()
+{
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    while (tried_.size() < max_targets) {
+        const auto now = owner_->loop_->now();
+        const auto target = owner_->relay_targets_.choose(
+            owner_->relay_candidates(), owner_->fleet_.self, tried_, now);
+        if (!target)
+            break;
+        tried_.push_back(target->id);
+        auto connecting = connect_tcp(
+            target->callers,
+            relay_keep_alive,
+            owner_->settings_->listen.callers.host);
+        if (!connecting) {
+            end_target(relay_result::failed);
+            continue;
+        }
+        socket_ = std::move(*connecting);
+        connected_ = false;
+        self_ = this;
+        owner_->loop_->add(socket_.descriptor(), EPOLLIN | EPOLLOUT, *this);
+        owner_->loop_->arm(
+            timer_, std::min(now + connect_timeout, times_.answer_deadline));
+        return;
+    }
+    owner_->replaced_ = false;
+    if (session_ != nullptr) {
+        auto& session = *std::exchange(session_, nullptr);
+        owner_->refuse_unreachable(session);
+    }
+    end(service_unavailable);
+}
+
+void relay_operation::end_target(relay_result result)
+{
+    owner_->relay_targets_.on_end(tried_.back(), result, owner_->loop_->now());
+    if (socket_) {
+        owner_->loop_->remove(socket_.descriptor(), *this);
+        socket_.close();
+    }
+    input_.clear();
+    reader_.reset();
+    self_.reset();
+}
+
+void relay_operation::skip_target(relay_result result)
+{
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    end_target(result);
+    try_next();
+}
+
+std::string relay_operation::serialize() const
+{
+    // The other instance answers before its deadline, and so in time for this
+    // one to pass the answer on.
+    const auto remaining = std::max(
+        std::chrono::duration_cast<milliseconds>(
+            times_.answer_deadline - owner_->loop_->now()),
+        milliseconds{1});
+    auto bytes = head_;
+    add_field(
+        bytes, owner_->names_->time_left, std::to_string(remaining.count()));
+    add_field(bytes, owner_->names_->relayed, caller_);
+    add_field(bytes, "Connection", "close");
+    if (has_length_)
+        add_field(bytes, "Content-Length", std::to_string(body_.size()));
+    bytes += "\r\n";
+    bytes += body_;
+    return bytes;
+}
+
+void relay_operation::on_events(std::uint32_t events)
+{
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    if (!connected_) {
+        if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
+            skip_target(relay_result::failed);
+            return;
+        }
+        connected_ = true;
+        output_ = serialize();
+        written_ = 0;
+        owner_->loop_->arm(timer_, times_.answer_deadline);
+    }
+    if (written_ < output_.size())
+        send();
+    if (socket_ && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+        receive();
+}
+
+void relay_operation::send()
+{
+    while (written_ < output_.size()) {
+        const auto sent = ::send(
+            socket_.descriptor(),
+            output_.data() + written_,
+            output_.size() - written_,
+            MSG_NOSIGNAL);
+        if (sent < 0 && errno == EINTR)
+            continue;
+        if (sent < 0 && errno == EAGAIN)
+            return;
+        if (sent < 0) {
+            end_target(relay_result::failed);
+            fail(502, "the relayed request was interrupted");
+            return;
+        }
+        written_ += static_cast<std::size_t>(sent);
+    }
+    owner_->loop_->modify(socket_.descriptor(), EPOLLIN, *this);
+}
+
+void relay_operation::receive()
+{
+    static std::array<char, read_bytes> buffer;
+    const auto received =
+        ::recv(socket_.descriptor(), buffer.data(), buffer.size(), 0);
+    if (received < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    auto state = read_state::invalid;
+    if (!reader_)
+        reader_.emplace(
+            answer_, upstream_connection::max_answer_bytes, bodiless_);
+    if (received > 0) {
+        input_.append(buffer.data(), static_cast<std::size_t>(received));
+        state = reader_->consume(input_);
+    }
+    else if (received == 0) {
+        state = reader_->consume_end();
+    }
+    if (state == read_state::incomplete)
+        return;
+    if (state == read_state::complete) {
+        on_answer();
+        return;
+    }
+    end_target(relay_result::failed);
+    fail(502, "the relayed request was interrupted");
+}
+
+void relay_operation::on_answer()
+{
+    const bool not_run = answer_.status == service_unavailable &&
+                         answer_.fields.find(owner_->names_->relayed);
+    if (not_run) {
+        skip_target(relay_result::cut_off);
+        return;
+    }
+    end_target(relay_result::served);
+    owner_->replaced_ = owner_->pool_.contact().lost();
+    if (session_ != nullptr)
+        std::exchange(session_, nullptr)
+            ->respond(
+                forwarded_answer_head(answer_, *owner_->names_), answer_.body);
+    end(answer_.status);
+}
+
+void relay_operation::on_timeout()
+{
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    if (!connected_ && owner_->loop_->now() < times_.answer_deadline) {
+        skip_target(relay_result::failed);
+        return;
+    }
+    end_target(relay_result::failed);
+    fail(504, "the relayed request timed out");
+}
+
+void relay_operation::fail(std::uint32_t status, std::string_view reason)
+{
+    if (session_ != nullptr)
+        owner_->refuse(*std::exchange(session_, nullptr), status, reason);
+    end(status);
+}
+
+void relay_operation::end(std::uint32_t status)
+{
+    reactor::disarm(timer_);
+    --owner_->open_requests_;
+    const auto now = owner_->loop_->now();
+    const bool served = status >= 200 && status < 300;
+    owner_->stats_->count(
+        "relayed_requests_total{status=\"" + std::to_string(status) + "\"}");
+    if (served && !owner_->log_->accepts_routine(now))
+        return;
+    owner_->log_->write(
+        now,
+        served ? event_severity::routine : event_severity::notable,
+        "request_relayed",
+        {{"request", request_id_},
+         {"route", route_},
+         {"to", tried_.empty() ? "" : tried_.back()},
+         {"tried", tried_.size()},
+         {"status", status},
+         {"took", now - times_.arrived}});
+}
+
+void relay_operation::on_caller_disconnect()
+{
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    session_ = nullptr;
+    if (socket_)
+        end_target(relay_result::served);
+    end(0);
+}
+
+} // namespace peridotward
--- /dev/null
+++ b/gateway/src/relay_operation.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <peridotward/gateway/forwarder.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace peridotward {
+
+/// \brief Lets another instance serve a request of a caller, since this one
+/// reaches no upstream.
+///
+/// \remarks The request goes to another instance only while it is certain that
+/// nothing has run: after an attempt to connect that failed, or when the other
+/// one says that it reaches no upstream either. The answer is passed on as it
+/// is.
+class relay_operation final : public request_state, public io_handler
+{
+public:
+    static constexpr milliseconds connect_timeout{250};
+    /// Instances that are tried.
+    static constexpr std::size_t max_targets = 3;
+
+    relay_operation(
+        forwarder& owner,
+        http_session& session,
+        const forward_route& route,
+        const forward_times& times,
+        std::string request_id);
+    ~relay_operation() override;
+
+    void begin();
+    void on_caller_disconnect() override;
+
+private:
+    void on_events(std::uint32_t events) override;
+    void on_timeout();
+    void try_next();
+    /// \brief Leaves the present target, which did not run the request.
+    void skip_target(relay_result result);
+    void send();
+    void receive();
+    void on_answer();
+    /// \brief Closes the connection to the present target.
+    void end_target(relay_result result);
+    void fail(std::uint32_t status, std::string_view reason);
+    void end(std::uint32_t status);
+    [[nodiscard]] std::string serialize() const;
+
+    forwarder* owner_;
+    http_session* session_; ///< Null after the answer or a disconnect.
+    std::string route_;
+    forward_times times_;
+    std::string request_id_;
+    std::string head_;
+    std::string caller_;
+    std::string body_;
+    bool has_length_;
+    bool bodiless_;
+    std::vector<std::string> tried_; ///< The last one is the present target.
+    unique_socket socket_;
+    /// Keeps this object while the reactor refers to it.
+    boost::intrusive_ptr<relay_operation> self_;
+    bool connected_ = false;
+    std::string output_;
+    std::size_t written_ = 0;
+    std::string input_;
+    response_message answer_;
+    std::optional<response_reader> reader_;
+    reactor_timer timer_;
+};
+
+} // namespace peridotward
--- a/gateway/src/socket.cpp
+++ b/gateway/src/socket.cpp
@@ -107,12 +107,20 @@
     return bound;
 }
 
-result<unique_socket>
-connect_tcp(const endpoint& address, keep_alive_times times)
+result<unique_socket> connect_tcp(
+    const endpoint& address, keep_alive_times times, const std::string& source)
 {
     auto opened = open_socket(SOCK_STREAM, address);
     if (!opened)
         return opened;
+    if (!source.empty()) {
+        const auto own_address = address_of({source, 0});
+        if (::bind(
+                opened->descriptor(),
+                reinterpret_cast<const sockaddr*>(&own_address),
+                sizeof own_address) != 0)
+            return socket_failure("cannot use the own address for", address);
+    }
     configure_connection(opened->descriptor(), times);
     const auto target = address_of(address);
     const int status = ::connect(
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -100,6 +100,18 @@
         replica.connections.push_front(*opened);
 }
 
+void upstream_pool::close_unused()
+{
+    for (auto& replica : connections_) {
+        for (auto it = replica.connections.begin();
+             it != replica.connections.end();) {
+            auto& connection = *it++;
+            if (connection.owner() == nullptr)
+                connection.close();
+        }
+    }
+}
+
 bool upstream_pool::send(
     replica_number number,
     upstream_request request,
