gateway: a connection whose caller takes nothing of its answer is closed after 10 s

Found while every connection was checked for how a silent end is noticed. Those to upstreams, the store and other instances have keep-alive probes and a TCP_USER_TIMEOUT that state the same time. An accepted connection had neither, and its timeouts only covered the time until a request is complete: the answer to a caller that is gone, or that reads nothing, was kept until the system gave the connection up.

--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -55,6 +55,8 @@
     /// Max time for which a connection that was closed for writing is drained,
     /// so that the caller can read the answer.
     static constexpr milliseconds linger_time{1000};
+    /// Max time in which a caller takes nothing of its answer.
+    static constexpr milliseconds write_timeout{10000};
 
     http_session(
         reactor& loop, accepted_connection accepted, http_handler& handler);
@@ -136,6 +138,7 @@
     std::string input_;
     std::string output_;
     std::size_t written_ = 0;
+    time_point write_progress_at_; ///< When bytes of `output_` were last sent.
     bool close_after_answer_ = false;
     std::optional<duration> round_trip_;
     time_point idle_since_;
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -161,6 +161,7 @@
         output_ += body;
     phase_ = phase::reading;
     state.reset();
+    write_progress_at_ = loop_->now();
     flush();
 }
 
@@ -184,6 +185,7 @@
             return;
         }
         written_ += static_cast<std::size_t>(sent);
+        write_progress_at_ = loop_->now();
     }
     if (output_.empty())
         return;
@@ -238,6 +240,8 @@
     const auto limits = handler_->limits();
     if (phase_ == phase::lingering && now - idle_since_ > linger_time)
         close();
+    else if (!output_.empty() && now - write_progress_at_ > write_timeout)
+        close();
     else if (phase_ == phase::reading && output_.empty()) {
         const bool started = reader_ != nullptr;
         if (started && now - start_time_ > limits.header_timeout)
@@ -259,6 +263,8 @@
     if (phase_ == phase::closed)
         return;
     phase_ = phase::closed;
+    output_.clear();
+    written_ = 0;
     loop_->remove(socket_.descriptor(), *this);
     socket_.close();
     state.reset();
