gateway: an instance with an older configuration doesn't serve in place of a later one

Cause: a relayed request was handled by the configuration of the instance that took it, which may be behind by seconds or, without the store, by more.

A relayed request names the version of the sender's configuration; an instance with an older one refuses it, and the sender asks another one.

--- a/core/include/peridotward/core/quarantine/interrupted_requests.hpp
+++ b/core/include/peridotward/core/quarantine/interrupted_requests.hpp
@@ -44,7 +44,7 @@
             requests_.begin(), requests_.end(), [&](const auto& each) {
                 return each.replica != crashed;
             });
-        const std::vector<interrupted_request> result{taken, requests_.end()};
+        std::vector<interrupted_request> result{taken, requests_.end()};
         requests_.erase(taken, requests_.end());
         return result;
     }
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -32,6 +32,10 @@
     /// starting instance reads its configuration within this time.
     static constexpr milliseconds retry_after_start{250};
 
+    /// Reason of refusals while no upstream can be reached.
+    static constexpr std::string_view no_upstream =
+        "not run: no upstream can be reached";
+
     forwarder(
         reactor& loop,
         event_log& log,
@@ -130,8 +134,12 @@
         const forward_route& route,
         const forward_times& times,
         const std::string& request_id);
-    /// \brief Refuses a request that no instance can serve now.
-    void refuse_unreachable(http_session& session);
+    /// \brief Refuses a request that this instance can't serve now, so that an
+    /// instance that relayed it may ask another one.
+    void refuse_unreachable(http_session& session, std::string_view reason);
+    /// \returns Whether an instance with a later configuration relayed the
+    /// request.
+    [[nodiscard]] bool is_behind(const request_message& request) const;
     /// \returns The network address of the caller, also if another instance
     /// relayed the request.
     [[nodiscard]] std::string_view caller_of(const http_session& session) const;
--- a/gateway/src/forwarded_fields.cpp
+++ b/gateway/src/forwarded_fields.cpp
@@ -64,7 +64,8 @@
         const bool replaced =
             equals_ignoring_case(field.name, names.time_left) ||
             equals_ignoring_case(field.name, names.expected_id) ||
-            equals_ignoring_case(field.name, names.relayed);
+            equals_ignoring_case(field.name, names.relayed) ||
+            equals_ignoring_case(field.name, names.relayed_config);
         if (!replaced && !is_hop_by_hop(field.name, connection))
             add_field(head, field.name, field.value);
     }
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -290,13 +290,22 @@
     pool_.close_unused();
 }
 
-void forwarder::refuse_unreachable(http_session& session)
+bool forwarder::is_behind(const request_message& request) const
+{
+    const auto text = request.fields.find(names_->relayed_config).value_or("0");
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version > config_->version;
+}
+
+void forwarder::refuse_unreachable(
+    http_session& session, std::string_view reason)
 {
     const auto now = loop_->now();
     refuse(
         session,
         503,
-        "not run: no upstream can be reached",
+        reason,
         retry_schedules_[""].reserve(0, now + probe_interval, now),
         names_->relayed + ": no\r\n");
 }
@@ -412,6 +421,10 @@
             retry_schedules_[""].reserve(0, now + retry_after_start, now));
         return;
     }
+    if (is_behind(request)) {
+        refuse_unreachable(session, "not run: the configuration is older");
+        return;
+    }
     const auto* route = config_->find(host_of(*host), path_of(request.target));
     if (route == nullptr) {
         refuse(session, 404, "no route has this host and path");
@@ -442,7 +455,7 @@
     const auto times = request_deadlines_[route->name].compute(*route, caller);
     if (pool_.contact().lost()) {
         if (request.fields.find(names_->relayed))
-            refuse_unreachable(session);
+            refuse_unreachable(session, no_upstream);
         else
             relay(session, *route, times, std::string{*id});
         return;
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -238,9 +238,11 @@
 {
     const boost::intrusive_ptr<http_session> guard{this};
     const auto limits = handler_->limits();
-    if (phase_ == phase::lingering && now - idle_since_ > linger_time)
-        close();
-    else if (!output_.empty() && now - write_progress_at_ > write_timeout)
+    const bool stalled =
+        !output_.empty() && now - write_progress_at_ > write_timeout;
+    const bool lingered =
+        phase_ == phase::lingering && now - idle_since_ > linger_time;
+    if (stalled || lingered)
         close();
     else if (phase_ == phase::reading && output_.empty()) {
         const bool started = reader_ != nullptr;
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -79,7 +79,7 @@
     owner_->replaced_ = false;
     if (session_ != nullptr) {
         auto& session = *std::exchange(session_, nullptr);
-        owner_->refuse_unreachable(session);
+        owner_->refuse_unreachable(session, forwarder::no_upstream);
     }
     end(service_unavailable);
 }
@@ -115,6 +115,10 @@
     add_field(
         bytes, owner_->names_->time_left, std::to_string(remaining.count()));
     add_field(bytes, owner_->names_->relayed, caller_);
+    add_field(
+        bytes,
+        owner_->names_->relayed_config,
+        std::to_string(owner_->config_->version));
     add_field(bytes, "Connection", "close");
     if (has_length_)
         add_field(bytes, "Content-Length", std::to_string(body_.size()));
