soak: requests that crash replicas, instances that are cut off from all replicas

Checked: at most three late arrivals of a crashing request; no other request refused as one; callers of cut-off instances are served two thirds as often as the others.

Mended beside: the fault of a replica's link always took the link of the first replica, and gateways inherited the proxies' sockets, so that a port could not be opened again.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -88,7 +88,13 @@
     std::uint64_t seed)
     : checker_{&checker},
       gateways_{&gateways},
-      paths_{"/search/", "/search/", "/search/", "/once/", "/read/"}
+      paths_{
+          "/search/",
+          "/search/",
+          "/search/",
+          "/once/",
+          "/read/",
+          invariant_checker::brittle_path}
 {
     for (int i = 0; i < count; ++i)
         threads_.emplace_back([this, i, seed] { run(i, seed + i); });
@@ -114,6 +120,20 @@
     paths_.push_back(std::move(path));
 }
 
+void callers::send_once(attempt_record record)
+{
+    caller_connection connection;
+    record.sent = steady::now();
+    if (connection.connect(
+            gateways_->addresses().instance_host(record.instance)))
+        send_request(connection, record);
+    else {
+        record.refused_to_connect = true;
+        record.ended = steady::now();
+    }
+    checker_->record_attempt(std::move(record));
+}
+
 void callers::run(int caller_number, std::uint64_t seed)
 {
     random_source random{seed};
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -27,6 +27,8 @@
 
     /// Adds a path that a new configuration has published.
     void add_path(std::string path);
+    /// Sends one request on a connection of its own and records its outcome.
+    void send_once(attempt_record record);
     /// Stops and joins all caller threads.
     void stop();
 
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int max_stop_ms = 6500;
+constexpr milliseconds crash_delay{30};
+constexpr milliseconds restart_delay{2000};
 
 } // namespace
 
@@ -285,6 +287,85 @@
     release_replica(replica);
 }
 
+void soak_environment::crash(const std::shared_ptr<replica_standin>& replica)
+{
+    const auto set_open = [this, replica](bool open) {
+        for (auto* links : {&replica_links_, &second_replica_links_}) {
+            auto& link = *(*links)[replica->link];
+            const bool cut =
+                links == &second_replica_links_ && second_links_cut_;
+            if (!open) {
+                link.close();
+                link.reset();
+            }
+            else if (!cut)
+                link.open();
+        }
+    };
+    auto end =
+        std::make_shared<testing::net::steady_timer>(context_, crash_delay);
+    end->async_wait([end, set_open, replica, this](auto) {
+        checker_.record_crash(replica->start_name());
+        set_open(false);
+    });
+    auto restart = std::make_shared<testing::net::steady_timer>(
+        context_, crash_delay + restart_delay);
+    restart->async_wait([this, restart, replica, set_open](auto) {
+        store_.remove("servers/" + replica->id);
+        replica->id += "c";
+        ++replica->start_id;
+        replica->crashing = false;
+        set_open(true);
+        replicas_.publish(*replica);
+    });
+}
+
+void soak_environment::send_crashing_requests(random_source& random)
+{
+    const auto path = std::string{invariant_checker::brittle_path} + "crash-" +
+                      std::to_string(random.next());
+    const auto interval = milliseconds{200 + random.below(400)};
+    for (int i = 0; i < 25; ++i) {
+        attempt_record record;
+        record.id = path + "-" + std::to_string(i);
+        record.path = path;
+        record.instance = random_instance(random);
+        callers_->send_once(std::move(record));
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+void soak_environment::cut_from_replicas(random_source& random)
+{
+    const bool reset = random.below(2) == 0;
+    const auto from = steady::now();
+    run_on_standin_thread([&] {
+        second_links_cut_ = true;
+        for (const auto& link : second_replica_links_) {
+            link->close();
+            if (reset)
+                link->reset();
+            else
+                link->set_fault({{}, true, true});
+        }
+    });
+    sleep_random(random, milliseconds{5500}, 3000);
+    run_on_standin_thread([&] {
+        second_links_cut_ = false;
+        for (const auto& replica : replicas_.all()) {
+            auto& link = *second_replica_links_[replica->link];
+            link.set_fault({});
+            link.reset();
+            if (!replica->crashing)
+                link.open();
+        }
+    });
+    for (int i = 0; i < options_->instances; ++i) {
+        if (uses_second_links(i))
+            record_disturbance_since(i, from, disturbance_kind::cut_off);
+    }
+}
+
 void soak_environment::inject_fault(
     const std::vector<fault_kind>& kinds, random_source& random)
 {
@@ -351,6 +432,18 @@
     return {{"rate limit", [&](auto& random) { limit_rate(random); }}};
 }
 
+std::vector<fault_kind> soak_environment::crash_faults()
+{
+    return {{"crashing request", [&](auto& random) {
+                 send_crashing_requests(random);
+             }}};
+}
+
+std::vector<fault_kind> soak_environment::cut_faults()
+{
+    return {{"cut off", [&](auto& random) { cut_from_replicas(random); }}};
+}
+
 void soak_environment::inject_faults(
     steady::time_point until,
     const std::vector<fault_kind>& kinds,
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -73,6 +73,12 @@
     rate_limits_.push_back(std::move(record));
 }
 
+void invariant_checker::record_crash(const std::string& replica_start)
+{
+    const std::lock_guard lock{mutex_};
+    crash_times_[replica_start] = steady::now();
+}
+
 void invariant_checker::record_disturbance(disturbance span)
 {
     const std::lock_guard lock{mutex_};
@@ -187,6 +193,8 @@
     check_leaving(violations);
     check_pauses(violations);
     check_rate_limits(violations);
+    check_crashes(violations);
+    check_cuts(violations);
     return violations;
 }
 
@@ -480,6 +488,109 @@
     }
 }
 
+void invariant_checker::check_crashes(
+    std::vector<std::string>& violations) const
+{
+    const auto by_id = attempts_with_ids();
+    // By the path of a crashing request.
+    std::map<std::string, std::set<std::string>> crashed;
+    std::map<std::string, std::vector<const arrival_record*>> arrived;
+    for (const auto& arrival : arrivals_) {
+        const auto found = by_id.find(arrival.id);
+        if (found == by_id.end() ||
+            found->second->path.find("/crash-") == std::string::npos)
+            continue;
+        const auto& path = found->second->path;
+        crashed[path].insert(arrival.replica_start);
+        arrived[path].push_back(&arrival);
+    }
+    for (const auto& [path, starts] : crashed) {
+        std::vector<steady::time_point> times;
+        for (const auto& start : starts) {
+            if (const auto found = crash_times_.find(start);
+                found != crash_times_.end())
+                times.push_back(found->second);
+        }
+        if (times.size() < 3)
+            continue;
+        std::sort(times.begin(), times.end());
+        const auto late = std::count_if(
+            arrived[path].begin(), arrived[path].end(), [&](const auto* each) {
+                return each->at > times[2] + crash_bound &&
+                       !is_disturbed(
+                           by_id.at(each->id)->instance, each->at, each->at);
+            });
+        if (static_cast<std::size_t>(late) > max_late_arrivals)
+            violations.push_back(
+                "crashed " + std::to_string(starts.size()) + " replicas, " +
+                std::to_string(late) + " late arrivals: " + path);
+    }
+    for (const auto& record : attempts_) {
+        const bool harmless = record.path.find("/crash-") == std::string::npos;
+        if (harmless && record.status == 503 &&
+            record.body.find("has crashed") != std::string::npos)
+            violations.push_back("refused as crashing: " + record.id);
+    }
+}
+
+void invariant_checker::check_cuts(std::vector<std::string>& violations) const
+{
+    const auto any_interrupted = [&](const attempt_record& record) {
+        return std::any_of(
+            disturbances_.begin(), disturbances_.end(), [&](const auto& span) {
+                return span.kind != disturbance_kind::connections &&
+                       span.kind != disturbance_kind::cut_off &&
+                       span.from <= record.ended &&
+                       record.sent <= span.until + recovery_allowance / 2;
+            });
+    };
+    struct counts
+    {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+    };
+    std::map<steady::time_point, std::pair<counts, counts>> by_cut;
+    for (const auto& record : attempts_) {
+        for (const auto& span : disturbances_) {
+            if (span.kind != disturbance_kind::cut_off ||
+                record.sent < span.from + cut_bound ||
+                record.ended > span.until || any_interrupted(record) ||
+                record.path.starts_with(brittle_path))
+                continue;
+            const bool cut = std::any_of(
+                disturbances_.begin(),
+                disturbances_.end(),
+                [&](const auto& other) {
+                    return other.kind == disturbance_kind::cut_off &&
+                           other.instance == record.instance &&
+                           other.from <= record.sent &&
+                           record.ended <= other.until;
+                });
+            auto& [of_cut, of_others] = by_cut[span.from];
+            auto& group = cut ? of_cut : of_others;
+            ++group.sent;
+            group.served += record.status == 200 ? 1 : 0;
+            break;
+        }
+    }
+    for (const auto& [from, groups] : by_cut) {
+        const auto& [cut, others] = groups;
+        const auto share = [](const counts& of) {
+            return of.sent == 0 ? 1.0
+                                : static_cast<double>(of.served) /
+                                      static_cast<double>(of.sent);
+        };
+        const auto failed = cut.sent - cut.served;
+        if (share(cut) < min_cut_share * share(others) &&
+            failed > cut_allowance + (cut.sent + others.sent) / 50)
+            violations.push_back(
+                "cut off: " + std::to_string(cut.served) + " of " +
+                std::to_string(cut.sent) + " served, by the others " +
+                std::to_string(others.served) + " of " +
+                std::to_string(others.sent));
+    }
+}
+
 void invariant_checker::check_extra_attempts(
     std::vector<std::string>& violations) const
 {
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -69,10 +69,11 @@
 
 enum class disturbance_kind : std::uint8_t
 {
-    connections, ///< To the store or to replicas, or the store itself.
-    paused,      ///< The process was stopped for a while.
-    restarted,   ///< The process was killed or is starting.
-    planned_stop ///< Still must not break off any request.
+    connections,  ///< To the store or to replicas, or the store itself.
+    paused,       ///< The process was stopped for a while.
+    restarted,    ///< The process was killed or is starting.
+    planned_stop, ///< Still must not break off any request.
+    cut_off,      ///< The instance reaches no replica.
 };
 
 /// In place of the number of an instance.
@@ -121,7 +122,21 @@
     static constexpr double extra_attempt_base = 56;
     static constexpr milliseconds extra_attempt_window{10000};
 
+    /// Prefix of the requests to the service whose replicas crash.
+    static constexpr const char* brittle_path = "/brittle/";
+    /// Time after the third crash by a request from which it may arrive
+    /// `max_late_arrivals` times more.
+    static constexpr milliseconds crash_bound{4000};
+    static constexpr std::size_t max_late_arrivals = 3;
+    /// Time from which the callers of an instance that is cut off from the
+    /// replicas are served, and how often at least compared with the others.
+    static constexpr milliseconds cut_bound{4000};
+    static constexpr double min_cut_share = 2.0 / 3;
+    static constexpr std::size_t cut_allowance = 10;
+
     void record_attempt(attempt_record record);
+    /// Records that a replica ended under a request that crashes it.
+    void record_crash(const std::string& replica_start);
     void record_execution(execution_record record);
     void record_arrival(arrival_record record);
     void record_notice(notice_record record);
@@ -174,6 +189,8 @@
     void check_leaving(std::vector<std::string>& violations) const;
     void check_pauses(std::vector<std::string>& violations) const;
     void check_rate_limits(std::vector<std::string>& violations) const;
+    void check_crashes(std::vector<std::string>& violations) const;
+    void check_cuts(std::vector<std::string>& violations) const;
 
     mutable std::mutex mutex_;
     std::vector<attempt_record> attempts_;
@@ -186,6 +203,7 @@
         std::string,
         std::pair<steady::time_point, steady::time_point>>>
         evacuations_;
+    std::map<std::string, steady::time_point> crash_times_;
     std::map<std::string, steady::time_point> drain_times_;
     std::map<std::string, steady::time_point> publication_times_;
 };
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -1,5 +1,7 @@
 #include "proxy.hpp"
 
+#include <fcntl.h>
+
 #include <array>
 
 namespace peridotward::soak {
@@ -8,6 +10,17 @@
 using tcp = net::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+/// Gateways that are started later must not inherit the socket.
+template<class Socket>
+void close_on_exec(Socket& socket)
+{
+    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
+} // namespace
+
 /// A client and a server socket whose bytes are relayed in both directions.
 class proxied_pair : public std::enable_shared_from_this<proxied_pair>
 {
@@ -102,17 +115,37 @@
     std::uint16_t port,
     std::uint16_t target_port)
     : context_{&context},
-      acceptor_{context, {net::ip::make_address(host), port}},
+      acceptor_{context},
+      address_{net::ip::make_address(host), port},
       target_{net::ip::make_address(host), target_port}
 {
+    open();
+}
+
+void proxy::open()
+{
+    if (acceptor_.is_open())
+        return;
+    acceptor_.open(address_.protocol());
+    close_on_exec(acceptor_);
+    acceptor_.set_option(net::socket_base::reuse_address{true});
+    acceptor_.bind(address_);
+    acceptor_.listen();
     accept();
 }
 
+void proxy::close()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
 void proxy::accept()
 {
     acceptor_.async_accept([this](error_code code, tcp::socket socket) {
         if (code)
             return;
+        close_on_exec(socket);
         const auto pair =
             std::make_shared<proxied_pair>(std::move(socket), fault_);
         std::erase_if(
--- a/soak/proxy.hpp
+++ b/soak/proxy.hpp
@@ -36,11 +36,16 @@
     /// Resets all connections.
     void reset();
 
+    /// Refuses new connections; open ones live on.
+    void close();
+    void open();
+
 private:
     void accept();
 
     testing::net::io_context* context_;
     testing::net::ip::tcp::acceptor acceptor_;
+    testing::net::ip::tcp::endpoint address_;
     testing::net::ip::tcp::endpoint target_;
     std::shared_ptr<link_fault> fault_ = std::make_shared<link_fault>();
     std::set<std::weak_ptr<proxied_pair>, std::owner_less<>> pairs_;
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -13,12 +13,32 @@
 constexpr std::uint16_t store_port = 9000;
 constexpr std::uint16_t first_replica_port = 10000;
 constexpr std::uint16_t first_proxy_port = 11000;
+/// The second store, and ports of the second links: added to the first ones.
+constexpr std::uint16_t second_store_offset = 900;
+constexpr std::uint16_t second_link_offset = 1000;
 constexpr milliseconds startup_time{3000};
 constexpr milliseconds settle_time{4500};
 constexpr milliseconds checked_time{2000};
+/// Replicas of the service whose replicas crash.
+constexpr int brittle_replicas = 4;
 /// Min. share of requests with status 200 after the faults of a run ended.
 constexpr double min_served_share = 0.9;
 
+/// \returns `record` with the port of the second link, if it is a replica's.
+std::string with_second_link(const std::string& record)
+{
+    auto changed = json::parse(record);
+    const auto found = changed.find("address");
+    if (found == changed.end())
+        return record;
+    const auto address = found->get<std::string>();
+    const auto colon = address.rfind(':');
+    const auto port = std::stoi(address.substr(colon + 1));
+    changed["address"] = address.substr(0, colon + 1) +
+                         std::to_string(port + second_link_offset);
+    return changed.dump();
+}
+
 } // namespace
 
 soak_environment::soak_environment(
@@ -27,35 +47,53 @@
       addresses_{seed},
       config_random_{seed},
       store_{context_, addresses_.replica_host(), store_port},
+      second_store_{
+          context_,
+          addresses_.replica_host(),
+          store_port + second_store_offset},
       replicas_{context_, checker_, store_, seed}
 {
-    for (int i = 0; i < options.instances; ++i)
+    store_.mirror_to(second_store_, with_second_link);
+    for (int i = 0; i < options.instances; ++i) {
+        const bool second = uses_second_links(i);
         store_links_.push_back(std::make_unique<proxy>(
             context_,
             addresses_.replica_host(),
             static_cast<std::uint16_t>(fleet::first_store_port + i),
-            store_port));
+            static_cast<std::uint16_t>(
+                store_port + (second ? second_store_offset : 0))));
+    }
     for (std::uint32_t s = 0; s < invariant_checker::shards; ++s)
-        add_service("s" + std::to_string(s));
-    add_service("desk");
+        add_service("s" + std::to_string(s), replicas_per_service);
+    add_service("desk", replicas_per_service);
+    add_service(brittle_service, brittle_replicas);
+    replicas_.on_crash = [this](const auto& replica) { crash(replica); };
     publish_config();
     thread_ = std::thread{[this] { context_.run(); }};
 }
 
-void soak_environment::add_service(const std::string& name)
+void soak_environment::add_service(const std::string& name, int count)
 {
-    for (int copy = 0; copy < replicas_per_service; ++copy) {
+    for (int copy = 0; copy < count; ++copy) {
         const auto number = static_cast<std::uint16_t>(replica_links_.size());
         replica_standin replica;
         replica.id = name + "-" + std::to_string(copy);
         replica.service = name;
-        replica.domain = "d" + std::to_string(copy);
+        replica.domain = "d" + std::to_string(copy % replicas_per_service);
+        replica.link = number;
+        replica.has_fault = name == brittle_service;
         replica.host = addresses_.replica_host();
         replica.port = static_cast<std::uint16_t>(first_replica_port + number);
         replica.published_port =
             static_cast<std::uint16_t>(first_proxy_port + number);
         replica_links_.push_back(std::make_unique<proxy>(
             context_, replica.host, replica.published_port, replica.port));
+        second_replica_links_.push_back(std::make_unique<proxy>(
+            context_,
+            replica.host,
+            static_cast<std::uint16_t>(
+                replica.published_port + second_link_offset),
+            replica.port));
         replicas_.add(std::move(replica));
     }
 }
@@ -77,6 +115,7 @@
         services.push_back(service("s" + std::to_string(s)));
     }
     services.push_back(service("desk"));
+    services.push_back(service(brittle_service));
     const auto route = [](const std::string& prefix, const char* kind) {
         return json{
             {"name", prefix},
@@ -96,6 +135,9 @@
     auto once = route("/once/", "unsafe");
     once["service"] = "desk";
     routes.push_back(once);
+    auto brittle = route(invariant_checker::brittle_path, "safe");
+    brittle["service"] = brittle_service;
+    routes.push_back(brittle);
     auto paths = added_paths_;
     paths.push_back("/read/");
     for (const auto& path : paths) {
@@ -130,7 +172,12 @@
     std::vector<std::thread> series;
     std::uint64_t series_seed = seed;
     for (auto kinds :
-         {environment_faults(), store_faults(), notice_faults(), rate_faults()})
+         {environment_faults(),
+          store_faults(),
+          notice_faults(),
+          rate_faults(),
+          crash_faults(),
+          cut_faults()})
         series.emplace_back([&, kinds, fault_seed = series_seed += 7] {
             inject_faults(until, kinds, fault_seed);
         });
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -44,7 +44,16 @@
     soak_result run(std::uint64_t seed);
 
 private:
-    void add_service(const std::string& name);
+    /// The service whose replicas a certain request crashes.
+    static constexpr const char* brittle_service = "brittle";
+
+    /// \returns Whether the instance reaches the replicas by the second links,
+    /// which can be cut.
+    [[nodiscard]] static bool uses_second_links(int instance)
+    {
+        return instance % 2 == 1;
+    }
+    void add_service(const std::string& name, int count);
     void publish_config();
 
     /// Runs `action` on the stand-ins' thread and waits until it returns.
@@ -90,6 +99,8 @@
     [[nodiscard]] std::vector<fault_kind> store_faults();
     [[nodiscard]] std::vector<fault_kind> notice_faults();
     [[nodiscard]] std::vector<fault_kind> rate_faults();
+    [[nodiscard]] std::vector<fault_kind> crash_faults();
+    [[nodiscard]] std::vector<fault_kind> cut_faults();
     void
     inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
     void inject_faults(
@@ -109,6 +120,9 @@
     void leave_by_answer(random_source& random);
     void pause_replicas(random_source& random);
     void limit_rate(random_source& random);
+    void send_crashing_requests(random_source& random);
+    void crash(const std::shared_ptr<replica_standin>& replica);
+    void cut_from_replicas(random_source& random);
 
     const soak_options* options_;
     run_addresses addresses_;
@@ -117,9 +131,12 @@
     testing::net::io_context context_;
     invariant_checker checker_;
     store store_;
+    store second_store_; ///< Names the second links to the replicas.
     replicas replicas_;
     std::vector<std::unique_ptr<proxy>> store_links_;
     std::vector<std::unique_ptr<proxy>> replica_links_;
+    std::vector<std::unique_ptr<proxy>> second_replica_links_;
+    bool second_links_cut_ = false;
     std::thread thread_;
     fleet* fleet_ = nullptr;
     callers* callers_ = nullptr;
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -75,6 +75,18 @@
         return;
     }
     checker_->record_arrival({id, replica->start_name(), steady::now()});
+    if (request.target().find("/crash-") != std::string::npos) {
+        checker_->record_execution(
+            {id,
+             replica->service,
+             replica->id,
+             replica->domain,
+             steady::now()});
+        if (!std::exchange(replica->crashing, true))
+            on_crash(replica);
+        answer({}, {.hang = true});
+        return;
+    }
     const bool turned_away = replica->pause > milliseconds{};
     if (turned_away || random_.unit() < replica->shed_share ||
         replica->running >= slots + queue_size) {
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -7,6 +7,7 @@
 
 #include <http_standin.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,7 +33,8 @@
     double hang_share = 0;
     std::uint32_t running = 0;
     std::uint64_t start_id = 1;
-    bool leaving = false; ///< Says in all answers that it is leaving.
+    bool crashing = false; ///< Ends soon, or has ended.
+    bool leaving = false;  ///< Says in all answers that it is leaving.
     /// Turns all requests away and asks for a pause of this length, if not
     /// zero.
     milliseconds pause{};
@@ -60,6 +62,9 @@
     void add(replica_standin replica);
     /// Writes the entry of the replica to the store.
     void publish(const replica_standin& replica, bool draining = false);
+    /// Called when a request has crashed the replica.
+    std::function<void(const std::shared_ptr<replica_standin>&)> on_crash;
+
     [[nodiscard]] std::vector<std::shared_ptr<replica_standin>>& all() noexcept
     {
         return all_;
--- a/soak/standins/store.cpp
+++ b/soak/standins/store.cpp
@@ -16,22 +16,67 @@
     listen(context, host, port, hooks);
 }
 
+void store::mirror_to(
+    store& other, std::function<std::string(const std::string&)> change)
+{
+    mirror_ = &other;
+    change_ = std::move(change);
+}
+
 void store::put(const std::string& key, const std::string& value)
 {
     state_.put(key, value);
     answer_watches();
+    if (mirror_ != nullptr)
+        mirror_->put(key, change_(value));
 }
 
 void store::remove(const std::string& key)
 {
     state_.remove(key);
     answer_watches();
+    if (mirror_ != nullptr)
+        mirror_->remove(key);
+}
+
+void store::compact()
+{
+    state_.compact();
+    if (mirror_ != nullptr)
+        mirror_->compact();
+}
+
+void store::set_down(bool refuse)
+{
+    down_ = refuse;
+    if (mirror_ != nullptr)
+        mirror_->set_down(refuse);
+}
+
+void store::take_copy()
+{
+    state_.take_copy();
+    if (mirror_ != nullptr)
+        mirror_->take_copy();
+}
+
+std::vector<lost_write> store::restore_copy()
+{
+    if (mirror_ != nullptr)
+        mirror_->restore_copy();
+    return state_.restore_copy();
 }
 
 void store::write_again(const lost_write& write)
 {
     state_.write_again(write);
     answer_watches();
+    if (mirror_ == nullptr)
+        return;
+    auto changed = write;
+    if (changed.value)
+        changed.value = change_(*changed.value);
+    mirror_->write_again(changed);
 }
 
 void store::set_away(bool away)
@@ -40,6 +85,8 @@
     for (auto& pending : watches_)
         pending.timer->cancel();
     watches_.clear();
+    if (mirror_ != nullptr)
+        mirror_->set_away(away);
 }
 
 void store::send(const respond& answer, const store_answer& content) const
--- a/soak/standins/store.hpp
+++ b/soak/standins/store.hpp
@@ -4,6 +4,7 @@
 #include <store_state.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <string>
 
@@ -18,23 +19,25 @@
         std::string host,
         std::uint16_t port);
 
+    /// Keeps `other` the same as this store, but for the values that `change`
+    /// alters.
+    void mirror_to(
+        store& other, std::function<std::string(const std::string&)> change);
+
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
     /// Discards the change history: a watch from an older revision gets 410.
-    void compact() { state_.compact(); }
+    void compact();
 
     /// While set, each call is refused with 503.
-    void set_down(bool refuse) { down_ = refuse; }
+    void set_down(bool refuse);
 
-    void take_copy() { state_.take_copy(); }
+    void take_copy();
     /// Forgets all waiting watches; while set, calls get no answer.
     void set_away(bool away);
     /// Loses all changes since `take_copy`; a new era begins.
-    std::vector<testing::lost_write> restore_copy()
-    {
-        return state_.restore_copy();
-    }
+    std::vector<testing::lost_write> restore_copy();
     void write_again(const testing::lost_write& write);
 
 private:
@@ -52,6 +55,8 @@
         const testing::store_answer& content) const;
 
     testing::net::io_context* context_;
+    store* mirror_ = nullptr;
+    std::function<std::string(const std::string&)> change_;
     testing::store_state state_;
     std::list<watch> watches_;
     bool down_ = false;
