--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -1,6 +1,4 @@
 #include "forward_operation.hpp"
-#include "forwarded_fields.hpp"
-#include "relay_operation.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -38,10 +36,6 @@
 /// Max accepted remaining time of a caller.
 constexpr milliseconds max_time_left{600'000};
 
-/// Interval between probes of silent upstreams, and upstreams in each.
-constexpr milliseconds probe_interval{250};
-constexpr std::size_t probed_upstreams = 3;
-
 std::optional<milliseconds> parse_time(std::string_view text)
 {
     std::int64_t value = 0;
@@ -194,163 +188,6 @@
         send_to_peers(std::move(answers));
 }
 
-void forwarder::log_crash_level(
-    request_fingerprint fingerprint, std::string_view source)
-{
-    const auto now = loop_->now();
-    const auto level = crash_history_.mark_of(fingerprint, now).level;
-    log_->write(
-        now,
-        event_severity::notable,
-        level >= crash_history::quarantine_level ? "request_quarantined"
-                                                 : "request_suspected",
-        {{"fingerprint", to_text(fingerprint)},
-         {"crashes", level},
-         {"source", source}});
-}
-
-void forwarder::exchange_crash_history()
-{
-    std::vector<outgoing_message> messages;
-    crash_history_exchange_.poll(fleet_, loop_->now(), messages);
-    if (!messages.empty() && send_to_peers)
-        send_to_peers(std::move(messages));
-}
-
-void forwarder::on_interrupted(
-    replica_number number,
-    const request_fingerprints& fingerprints,
-    const crash_history::marks& sent_with)
-{
-    interrupted_requests_.add({number, fingerprints, sent_with, loop_->now()});
-    pool_.probe(number);
-}
-
-void forwarder::on_replica_ended(replica_number number)
-{
-    const auto now = loop_->now();
-    const auto interrupted = interrupted_requests_.take(number, now);
-    if (interrupted.empty())
-        return;
-    const auto& published = catalog_.at(number).published;
-    stats_->count(
-        "upstream_crashes_total{service=\"" + published.service + "\"}");
-    log_->write(
-        now,
-        event_severity::notable,
-        "upstream_crashed",
-        {{"replica", published.id},
-         {"service", published.service},
-         {"address", published.address.text()},
-         {"requests", interrupted.size()}});
-    bool raised = false;
-    for (const auto& each : interrupted) {
-        for (const auto fingerprint :
-             crash_history_.on_crash(each.request, each.sent_with, now)) {
-            raised = true;
-            log_crash_level(fingerprint, "own");
-        }
-    }
-    if (raised)
-        exchange_crash_history();
-}
-
-void forwarder::probe_upstreams(time_point now)
-{
-    const auto live = catalog_.live();
-    if (now < next_probe_ || live.empty())
-        return;
-    next_probe_ = now + probe_interval;
-    for (std::size_t i = 0; i < probed_upstreams; ++i)
-        pool_.probe(live[random_.below(live.size())]);
-}
-
-void forwarder::check_upstream_contact(time_point now)
-{
-    auto& contact = pool_.contact();
-    contact.check(catalog_.live().size(), now);
-    if (contact.silent(now))
-        probe_upstreams(now);
-    if (std::exchange(contact_lost_, contact.lost()) == contact.lost())
-        return;
-    log_->write(
-        now,
-        event_severity::notable,
-        contact.lost() ? "upstreams_lost" : "upstreams_regained",
-        {{"replicas", catalog_.live().size()}});
-    replaced_ = false;
-    if (!contact.lost())
-        return;
-    std::vector<boost::intrusive_ptr<request_state>> open;
-    for (auto& each : operations_)
-        open.emplace_back(&each);
-    for (const auto& each : open)
-        each->on_upstreams_lost();
-    // Bytes that the cut holds up would arrive at its end.
-    pool_.close_unused();
-}
-
-bool forwarder::is_behind(const request_message& request) const
-{
-    const auto text = request.fields.find(names_->relayed_config).value_or("0");
-    std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
-    return version > config_->version;
-}
-
-void forwarder::refuse_unreachable(
-    http_session& session, std::string_view reason)
-{
-    const auto now = loop_->now();
-    refuse(
-        session,
-        503,
-        reason,
-        retry_schedules_[""].reserve(0, now + probe_interval, now),
-        names_->relayed + ": no\r\n");
-}
-
-void forwarder::relay(
-    http_session& session,
-    const forward_route& route,
-    const forward_times& times,
-    const std::string& request_id)
-{
-    const boost::intrusive_ptr<relay_operation> operation{
-        new relay_operation{*this, session, route, times, request_id}};
-    session.state = operation;
-    operation->begin();
-}
-
-std::string_view forwarder::caller_of(const http_session& session) const
-{
-    const auto relayed = session.request().fields.find(names_->relayed);
-    const auto& host = session.caller_host();
-    const bool from_instance = std::any_of(
-        fleet_.others.begin(), fleet_.others.end(), [&](const auto& id) {
-            return id.size() > host.size() && id.starts_with(host) &&
-                   id[host.size()] == ':';
-        });
-    return relayed && from_instance ? *relayed : host;
-}
-
-bool forwarder::refuse_quarantined(
-    http_session& session, const request_fingerprints& fingerprints)
-{
-    const auto now = loop_->now();
-    if (crash_history_.trust(fingerprints, now) != request_trust::quarantined)
-        return false;
-    stats_->count("quarantined_requests_total");
-    refuse(
-        session,
-        503,
-        "not run: request " + to_text(fingerprints.exact) +
-            " has crashed the upstreams that ran it",
-        std::chrono::ceil<milliseconds>(
-            crash_history_.quarantined_until(fingerprints, now) - now));
-    return true;
-}
-
 void forwarder::apply_settings()
 {
     retry_budgets_.bounds(settings_->retries);
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -517,8 +517,10 @@
         const auto late = std::count_if(
             arrived[path].begin(), arrived[path].end(), [&](const auto* each) {
                 return each->at > times[2] + crash_bound &&
-                       !is_disturbed(
-                           by_id.at(each->id)->instance, each->at, each->at);
+                       !is_interrupted(
+                           by_id.at(each->id)->instance,
+                           each->at - recovery_allowance,
+                           each->at);
             });
         if (static_cast<std::size_t>(late) > max_late_arrivals)
             violations.push_back(
@@ -535,13 +537,16 @@
 
 void invariant_checker::check_cuts(std::vector<std::string>& violations) const
 {
+    // Until the others know it, an instance that is paused or was killed gets
+    // requests of those that are cut off.
     const auto any_interrupted = [&](const attempt_record& record) {
         return std::any_of(
             disturbances_.begin(), disturbances_.end(), [&](const auto& span) {
-                return span.kind != disturbance_kind::connections &&
-                       span.kind != disturbance_kind::cut_off &&
-                       span.from <= record.ended &&
-                       record.sent <= span.until + recovery_allowance / 2;
+                const bool unannounced =
+                    span.kind == disturbance_kind::paused ||
+                    span.kind == disturbance_kind::restarted;
+                return unannounced && span.from <= record.ended &&
+                       record.sent <= span.until + interruption_allowance;
             });
     };
     struct counts
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -133,6 +133,7 @@
     static constexpr milliseconds cut_bound{4000};
     static constexpr double min_cut_share = 2.0 / 3;
     static constexpr std::size_t cut_allowance = 10;
+    static constexpr milliseconds interruption_allowance{1500};
 
     void record_attempt(attempt_record record);
     /// Records that a replica ended under a request that crashes it.
