--- a/core/include/peridotward/core/quarantine/crash_history.hpp
+++ b/core/include/peridotward/core/quarantine/crash_history.hpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -23,8 +22,9 @@
 ///
 /// \remarks Each crash raises the level of all requests that the upstream was
 /// running. An answer clears a request, since one that crashes its upstreams is
-/// never answered; so harmless requests leave again. At `quarantine_level` a
-/// request is no longer sent, by any instance that has the record.
+/// never answered; so harmless requests are soon trusted again. At
+/// `quarantine_level` a request is no longer sent, by any instance that has the
+/// record.
 class crash_history
 {
 public:
@@ -113,7 +113,6 @@
 private:
     /// Calls of `take_changed` that return a changed record.
     static constexpr std::uint32_t transmissions = 4;
-    /// Must be a power of two.
     static constexpr std::size_t answered_slots = 4096;
 
     struct known_request
--- a/core/include/peridotward/core/quarantine/interrupted_requests.hpp
+++ b/core/include/peridotward/core/quarantine/interrupted_requests.hpp
@@ -49,15 +49,6 @@
         return result;
     }
 
-    /// \returns Whether the replica interrupted requests lately.
-    [[nodiscard]] bool any_at(replica_number replica) const
-    {
-        return std::any_of(
-            requests_.begin(), requests_.end(), [&](const auto& each) {
-                return each.replica == replica;
-            });
-    }
-
     /// \brief Drops the requests whose replicas have not crashed.
     void expire(time_point now)
     {
