core, gateway: only an older route keeps an instance from serving a relayed request

Cause: an instance with an older configuration refused everything that was relayed, also what both configurations handle alike, and the sender then avoided it for 0.25 s.

A relayed request names a digest of its route besides the version; an instance with an older configuration refuses it only if the route differs, and says that this is the reason, so that it isn't avoided for others.

--- a/core/include/peridotward/core/membership/relay_targets.hpp
+++ b/core/include/peridotward/core/membership/relay_targets.hpp
@@ -16,9 +16,10 @@
 /// \brief How another instance handled a relayed request.
 enum class relay_result : std::uint8_t
 {
-    served,  ///< It answered, or may still have done so.
-    cut_off, ///< It reaches no upstream either; nothing was run.
-    failed,  ///< It could not be reached, or broke off.
+    served,   ///< It answered, or may still have done so.
+    declined, ///< It has an older route for the request; nothing was run.
+    cut_off,  ///< It reaches no upstream either; nothing was run.
+    failed,   ///< It could not be reached, or broke off.
 };
 
 /// \brief Selects the instance that serves a request in place of this one,
--- a/core/include/peridotward/core/routing/forward_config.hpp
+++ b/core/include/peridotward/core/routing/forward_config.hpp
@@ -107,6 +107,10 @@
     [[nodiscard]] const forward_route*
     find(std::string_view host, std::string_view path) const;
 
+    /// \returns A hash of all that decides how requests of `route`, one of
+    /// `routes`, are handled.
+    [[nodiscard]] std::uint64_t digest_of(const forward_route& route) const;
+
 private:
     std::unordered_map<std::string, std::uint32_t> by_prefix_;
 };
--- a/core/src/membership/relay_targets.cpp
+++ b/core/src/membership/relay_targets.cpp
@@ -62,6 +62,7 @@
     state.open -= state.open > 0 ? 1 : 0;
     switch (result) {
     case relay_result::served:
+    case relay_result::declined:
         break;
     case relay_result::cut_off:
         state.avoid_until = now + cut_off_time;
--- a/core/src/routing/forward_config.cpp
+++ b/core/src/routing/forward_config.cpp
@@ -1,3 +1,4 @@
+#include <peridotward/base/hash.hpp>
 #include <peridotward/core/routing/forward_config.hpp>
 
 namespace peridotward {
@@ -37,4 +38,28 @@
     }
 }
 
+std::uint64_t forward_config::digest_of(const forward_route& route) const
+{
+    std::string text = route.host;
+    const auto add = [&](std::string_view part) {
+        text += '\n';
+        text += part;
+    };
+    add(route.prefix);
+    add(name_of(route.safety));
+    for (const auto time : {route.timeout, route.target_latency})
+        add(std::to_string(time.count()));
+    add(std::to_string(route.priority));
+    add(std::to_string(route.max_attempts));
+    for (const auto& target : route.targets) {
+        add(services[target.service].name);
+        add(std::to_string(target.weight));
+    }
+    for (const auto shard : route.shards)
+        add(services[shard].name);
+    add(std::to_string(route.top_records));
+    add(std::to_string(route.min_shard_share));
+    return hash_of(text);
+}
+
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -32,6 +32,10 @@
     /// starting instance reads its configuration within this time.
     static constexpr milliseconds retry_after_start{250};
 
+    /// Values of the field `relayed` in an answer: the instance is cut off, or
+    /// has an older route for the request.
+    static constexpr std::string_view relayed_cut_off = "cut-off";
+    static constexpr std::string_view relayed_declined = "older-route";
     /// Reason of refusals while no upstream can be reached.
     static constexpr std::string_view no_upstream =
         "not run: no upstream can be reached";
@@ -136,10 +140,15 @@
         const std::string& request_id);
     /// \brief Refuses a request that this instance can't serve now, so that an
     /// instance that relayed it may ask another one.
-    void refuse_unreachable(http_session& session, std::string_view reason);
-    /// \returns Whether an instance with a later configuration relayed the
-    /// request.
-    [[nodiscard]] bool is_behind(const request_message& request) const;
+    /// \param relayed Value of the field `relayed` in the answer.
+    void refuse_unreachable(
+        http_session& session,
+        std::string_view reason,
+        std::string_view relayed);
+    /// \returns Whether an instance relayed the request that has a later
+    /// configuration with another route for it than `route`, which may be null.
+    [[nodiscard]] bool
+    is_behind(const request_message& request, const forward_route* route) const;
     /// \returns The network address of the caller, also if another instance
     /// relayed the request.
     [[nodiscard]] std::string_view caller_of(const http_session& session) const;
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -23,9 +23,10 @@
     std::string parts_missing;   ///< Number of parts left out of an answer.
     /// Only between instances. In a request: the caller's network address; the
     /// receiver doesn't relay it again. In an answer: the request has not run,
-    /// since the sender reaches no upstream or has an older configuration.
+    /// since the sender reaches no upstream or has an older route.
     std::string relayed = "Peridotward-Relayed";
-    /// Beside it in a request: version of the sender's configuration.
+    /// Beside it in a request: version of the sender's configuration, and after
+    /// a space the digest of the route in it.
     std::string relayed_config = "Peridotward-Relayed-Config";
 };
 
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -258,11 +258,12 @@
             retry_schedules_[""].reserve(0, now + retry_after_start, now));
         return;
     }
-    if (is_behind(request)) {
-        refuse_unreachable(session, "not run: the configuration is older");
+    const auto* route = config_->find(host_of(*host), path_of(request.target));
+    if (is_behind(request, route)) {
+        refuse_unreachable(
+            session, "not run: the route is older", relayed_declined);
         return;
     }
-    const auto* route = config_->find(host_of(*host), path_of(request.target));
     if (route == nullptr) {
         refuse(session, 404, "no route has this host and path");
         return;
@@ -292,7 +293,7 @@
     const auto times = request_deadlines_[route->name].compute(*route, caller);
     if (pool_.contact().lost()) {
         if (request.fields.find(names_->relayed))
-            refuse_unreachable(session, no_upstream);
+            refuse_unreachable(session, no_upstream, relayed_cut_off);
         else
             relay(session, *route, times, std::string{*id});
         return;
--- a/gateway/src/forwarder_protection.cpp
+++ b/gateway/src/forwarder_protection.cpp
@@ -114,16 +114,24 @@
     pool_.close_unused();
 }
 
-bool forwarder::is_behind(const request_message& request) const
+bool forwarder::is_behind(
+    const request_message& request, const forward_route* route) const
 {
-    const auto text = request.fields.find(names_->relayed_config).value_or("0");
+    const auto text = request.fields.find(names_->relayed_config);
+    if (!text)
+        return false;
     std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
-    return version > config_->version;
+    std::uint64_t digest = 0;
+    const auto* const end = text->data() + text->size();
+    const auto* const space = std::from_chars(text->data(), end, version).ptr;
+    if (space != end)
+        std::from_chars(space + 1, end, digest);
+    return version > config_->version &&
+           (route == nullptr || config_->digest_of(*route) != digest);
 }
 
 void forwarder::refuse_unreachable(
-    http_session& session, std::string_view reason)
+    http_session& session, std::string_view reason, std::string_view relayed)
 {
     const auto now = loop_->now();
     refuse(
@@ -131,7 +139,7 @@
         503,
         reason,
         retry_schedules_[""].reserve(0, now + probe_interval, now),
-        names_->relayed + ": no\r\n");
+        names_->relayed + ": " + std::string{relayed} + "\r\n");
 }
 
 void forwarder::relay(
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -28,6 +28,9 @@
     : owner_{&owner},
       session_{&session},
       route_{route.name},
+      route_version_{
+          std::to_string(owner.config_->version) + " " +
+          std::to_string(owner.config_->digest_of(route))},
       times_{times},
       request_id_{std::move(request_id)},
       head_{forwarded_request_head(session.request(), *owner.names_)},
@@ -79,7 +82,8 @@
     owner_->replaced_ = false;
     if (session_ != nullptr) {
         auto& session = *std::exchange(session_, nullptr);
-        owner_->refuse_unreachable(session, forwarder::no_upstream);
+        owner_->refuse_unreachable(
+            session, forwarder::no_upstream, forwarder::relayed_cut_off);
     }
     end(service_unavailable);
 }
@@ -115,10 +119,7 @@
     add_field(
         bytes, owner_->names_->time_left, std::to_string(remaining.count()));
     add_field(bytes, owner_->names_->relayed, caller_);
-    add_field(
-        bytes,
-        owner_->names_->relayed_config,
-        std::to_string(owner_->config_->version));
+    add_field(bytes, owner_->names_->relayed_config, route_version_);
     add_field(bytes, "Connection", "close");
     if (has_length_)
         add_field(bytes, "Content-Length", std::to_string(body_.size()));
@@ -198,10 +199,11 @@
 
 void relay_operation::on_answer()
 {
-    const bool not_run = answer_.status == service_unavailable &&
-                         answer_.fields.find(owner_->names_->relayed);
-    if (not_run) {
-        skip_target(relay_result::cut_off);
+    const auto relayed = answer_.fields.find(owner_->names_->relayed);
+    if (answer_.status == service_unavailable && relayed) {
+        skip_target(
+            *relayed == forwarder::relayed_declined ? relay_result::declined
+                                                    : relay_result::cut_off);
         return;
     }
     end_target(relay_result::served);
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -51,6 +51,7 @@
     forwarder* owner_;
     http_session* session_; ///< Null after the answer or a disconnect.
     std::string route_;
+    std::string route_version_; ///< For the field `relayed_config`.
     forward_times times_;
     std::string request_id_;
     std::string head_;
