core, gateway: a request of which nothing was written is answered as not run

Cause: a request whose attempts waited for a connection, or for one that was being made, counted as possibly run as soon as it was given up. Its caller got 502 or 504 and may not repeat an unsafe request.

Change: the owner of a request reports when the first bytes of an attempt are about to leave. A request without such an attempt ends with `not_run` (503 and Retry-After), after its open attempts were taken back, also from connections that are being made.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -144,6 +144,13 @@
         time_point now,
         forward_actions& out);
 
+    /// \brief Records that bytes of an attempt are about to leave this
+    /// instance; from then on the replica may run it.
+    void on_written(std::uint32_t attempt) noexcept
+    {
+        attempts_[attempt].written = true;
+    }
+
     /// \brief Handles the result of an attempt.
     ///
     /// \returns Whether the answer of the attempt belongs in the result.
@@ -250,6 +257,7 @@
         time_point sent_at;
         bool extra = false; ///< Counted as a hedge or retry.
         bool open = true;
+        bool written = false; ///< The replica may have got bytes of it.
     };
     struct part_state
     {
@@ -315,8 +323,9 @@
     void finish(
         forward_end end, const forward_context& context, forward_actions& out);
     /// \returns `not_run` if no replica ran or may still run any part,
-    /// otherwise `failed`.
-    [[nodiscard]] forward_end failure_kind() const noexcept;
+    /// otherwise `otherwise`. The owner must then withdraw the open attempts.
+    [[nodiscard]] forward_end
+    failure_kind(forward_end otherwise) const noexcept;
     [[nodiscard]] bool try_admit(
         const forward_context& context,
         const latency_profile& profile,
--- a/core/src/experiment/forward_experiment.cpp
+++ b/core/src/experiment/forward_experiment.cpp
@@ -219,6 +219,7 @@
 {
     if (sent.extra)
         record_extra_attempt(sent.part);
+    request->state.on_written(sent.attempt);
     schedule(now_ + network_delay, [this, request, sent] {
         receive(request, sent.attempt, sent.to);
     });
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -51,15 +51,16 @@
     return given_up_ == part_count() || given_up_ > spare_parts();
 }
 
-forward_end forwarded_request::failure_kind() const noexcept
+forward_end
+forwarded_request::failure_kind(forward_end otherwise) const noexcept
 {
-    // A replica may still run an open attempt.
+    // A replica may still run an open attempt that was written.
     const bool may_run =
         may_have_run_ ||
         std::any_of(attempts_.begin(), attempts_.end(), [](const auto& sent) {
-            return sent.open;
+            return sent.open && sent.written;
         });
-    return may_run ? forward_end::failed : forward_end::not_run;
+    return may_run ? otherwise : forward_end::not_run;
 }
 
 time_point forwarded_request::earliest_retry(
@@ -422,11 +423,11 @@
     if (answered_ == parts_.size())
         finish(forward_end::complete, context, out);
     else if (has_failed())
-        finish(failure_kind(), context, out);
+        finish(failure_kind(forward_end::failed), context, out);
     else if (is_partial_due(now))
         finish(forward_end::partial, context, out);
     else if (now >= times_.answer_deadline)
-        finish(forward_end::timed_out, context, out);
+        finish(failure_kind(forward_end::timed_out), context, out);
     full_value_passed_ = full_value_passed_ || now >= times_.full_value_until;
     late_deadline_passed_ = now >= late_deadline();
 }
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -50,6 +50,12 @@
     /// previous request must have ended.
     void send(upstream_request request);
 
+    /// \brief Takes back an attempt that waits until the connection is made;
+    /// the connection stays.
+    /// \returns Whether the attempt waited, and so hasn't been sent.
+    [[nodiscard]] bool
+    withdraw(const attempt_owner& owner, std::uint32_t attempt) noexcept;
+
     /// \brief Closes the connection without reporting its request.
     void abort();
 
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -63,6 +63,14 @@
         const attempt_owner& owner,
         std::uint32_t attempt);
 
+    /// \brief Takes back an attempt that waits for a connection, also for one
+    /// that is being made.
+    /// \returns Whether the attempt waited, and so hasn't been sent.
+    [[nodiscard]] bool withdraw_unsent(
+        replica_number number,
+        const attempt_owner& owner,
+        std::uint32_t attempt);
+
     /// \brief Sends the replica's queued requests while connections are free.
     void send_waiting(replica_number number);
 
--- a/gateway/include/peridotward/gateway/upstream_request.hpp
+++ b/gateway/include/peridotward/gateway/upstream_request.hpp
@@ -22,6 +22,9 @@
         forward_outcome outcome,
         response_message* answer) = 0;
 
+    /// \brief Called before the first bytes of an attempt are sent.
+    virtual void on_attempt_written(std::uint32_t attempt) = 0;
+
     /// \returns The serialized request of an attempt that is sent now; holds
     /// the time that remains until its deadline.
     [[nodiscard]] virtual std::string
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -225,10 +225,28 @@
     }
 }
 
+void forward_operation::withdraw_all()
+{
+    for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
+        if (request_.open(i) &&
+            owner_->pool_.withdraw_unsent(request_.replica_of(i), *this, i))
+            request_.on_result(
+                i,
+                forward_outcome::unsent,
+                owner_->context(),
+                *profile_,
+                owner_->loop_->now(),
+                actions_);
+    }
+}
+
 void forward_operation::finish(forward_end end)
 {
     reactor::disarm(timer_);
-    withdraw_unneeded();
+    if (end == forward_end::not_run)
+        withdraw_all();
+    else
+        withdraw_unneeded();
     --owner_->open_requests_;
     log_end(end);
     const bool success =
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -47,7 +47,13 @@
     void send(const forward_send& to_send);
     [[nodiscard]] std::string
     serialize_attempt(std::uint32_t attempt) const override;
+    void on_attempt_written(std::uint32_t attempt) override
+    {
+        request_.on_written(attempt);
+    }
     void withdraw_unneeded();
+    /// \brief Takes back the open attempts of a request that has not run.
+    void withdraw_all();
     /// \brief Ends all attempts without an answer to the caller.
     void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -107,9 +107,20 @@
         return;
     phase_ = phase::busy;
     pool_->contact().on_tried(replica_, pool_->loop().now());
+    request_.owner->on_attempt_written(request_.attempt);
     flush();
 }
 
+bool upstream_connection::withdraw(
+    const attempt_owner& owner, std::uint32_t attempt) noexcept
+{
+    if (phase_ != phase::connecting || request_.owner.get() != &owner ||
+        request_.attempt != attempt)
+        return false;
+    request_.owner.reset();
+    return true;
+}
+
 void upstream_connection::on_events(std::uint32_t events)
 {
     const boost::intrusive_ptr<upstream_connection> guard{this};
@@ -134,6 +145,7 @@
     if (!request_.owner) {
         phase_ = phase::idle;
         idle_since_ = pool_->loop().now();
+        pool_->send_waiting(replica_);
         return;
     }
     if (!pool_->wants_requests(replica_)) {
@@ -145,6 +157,7 @@
         return;
     }
     phase_ = phase::busy;
+    request_.owner->on_attempt_written(request_.attempt);
     flush();
 }
 
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -1,5 +1,6 @@
 #include <peridotward/gateway/upstream_pool.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -155,6 +156,18 @@
         .has_value();
 }
 
+bool upstream_pool::withdraw_unsent(
+    replica_number number, const attempt_owner& owner, std::uint32_t attempt)
+{
+    if (withdraw(number, owner, attempt))
+        return true;
+    auto& connections = connections_of(number).connections;
+    return std::any_of(
+        connections.begin(), connections.end(), [&](auto& connection) {
+            return connection.withdraw(owner, attempt);
+        });
+}
+
 void upstream_pool::send_waiting(replica_number number)
 {
     // A report may call `send`, so each round looks up the queue again.
--- a/gateway/tests/recording_owner.hpp
+++ b/gateway/tests/recording_owner.hpp
@@ -24,6 +24,7 @@
         request.expires_at = pool.loop().now() + timeout;
         return pool.send(0, std::move(request), max_connections);
     }
+    void on_attempt_written(std::uint32_t) override {}
     [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
     {
         return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -42,6 +42,8 @@
             send(attempt + 1);
     }
 
+    void on_attempt_written(std::uint32_t) override {}
+
     [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
     {
         return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -126,12 +128,18 @@
         request.expires_at = to.clock.now() + timeout;
         return to.pool.send(0, std::move(request), 1);
     }
+    void on_attempt_written(std::uint32_t attempt) override
+    {
+        written.push_back(attempt);
+    }
+
     [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
     {
         return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     }
 
     std::vector<std::pair<std::uint32_t, forward_outcome>> ended;
+    std::vector<std::uint32_t> written;
 
 private:
     void on_attempt_end(
@@ -211,3 +219,25 @@
     CHECK(replica.pool.waiting_count() == 0);
     replica.pool.abort_all(*owner);
 }
+
+TEST_CASE(
+    "pool: an attempt that is taken back while its connection is made isn't "
+    "sent",
+    "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    REQUIRE(owner->send(replica, 0, seconds{9}));
+    CHECK_FALSE(replica.pool.withdraw(0, *owner, 0));
+    CHECK(replica.pool.withdraw_unsent(0, *owner, 0));
+    CHECK_FALSE(replica.pool.withdraw_unsent(0, *owner, 0));
+    CHECK(replica.pool.connection_count() == 1);
+    // The connection that was made takes the next attempt.
+    replica.loop.run_once();
+    REQUIRE(owner->send(replica, 1, seconds{9}));
+    CHECK(replica.pool.connection_count() == 1);
+    CHECK(owner->written == std::vector{1U});
+    CHECK_FALSE(replica.pool.withdraw_unsent(0, *owner, 1));
+    replica.pool.abort_all(*owner);
+}
