gateway: the end of a connection is no sign that upstreams can be reached

Cause: an instance that is cut off from all replicas relays its requests once it has heard none for 0.6 s. The end of an idle connection counted as heard, although it also arrives if only the way to the replica is cut.

Change: only bytes count.

Test: "pool: the end of a connection is no sign that upstreams can be reached" failed before.

--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -191,7 +191,8 @@
         ::recv(socket_.descriptor(), buffer.data(), buffer.size(), 0);
     if (received < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-    if (received >= 0)
+    // The end of a connection also arrives if only the way there is cut.
+    if (received > 0)
         pool_->contact().on_heard();
     else
         pool_->contact().on_tried(replica_, pool_->loop().now());
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+
 #include <utility>
 #include <vector>
 
@@ -190,6 +192,25 @@
     CHECK(owner->ended.size() == 1);
 }
 
+TEST_CASE(
+    "pool: the end of a connection is no sign that upstreams can be reached",
+    "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    replica.pool.probe(0);
+    replica.loop.run_once();
+    unique_socket accepted{
+        ::accept(replica.listener->descriptor(), nullptr, nullptr)};
+    REQUIRE(accepted);
+    replica.pool.contact().on_tried(0, replica.clock.now());
+    accepted.close();
+    replica.loop.run_once();
+    CHECK(replica.pool.connection_count() == 0);
+    CHECK(replica.pool.contact().silent(
+        replica.clock.now() + upstream_contact::probe_after));
+}
+
 TEST_CASE("pool: queued requests of a draining replica end unsent", "[pool]")
 {
     silent_replica replica;
