tests: the stand-ins' thread makes no call that blocks

Two calls of that thread could do so: the synchronous read after a readiness event while an answer hangs, and the synchronous write of a dripping answer.

Change: both are asynchronous.

Test: none that fails before; the state in which the read blocked was not reproduced.

--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -123,14 +123,11 @@
     void wait_for_close()
     {
         auto self = shared_from_this();
-        socket_.async_wait(tcp::socket::wait_read, [self](error_code code) {
-            std::array<char, 4096> bytes{};
-            error_code read_error;
-            if (!code)
-                self->socket_.read_some(net::buffer(bytes), read_error);
-            if (!code && !read_error)
-                self->wait_for_close();
-        });
+        socket_.async_read_some(
+            net::buffer(discarded_), [self](error_code code, std::size_t) {
+                if (!code)
+                    self->wait_for_close();
+            });
     }
 
     void write_response(standin_response response)
@@ -158,14 +155,18 @@
     {
         if (position >= bytes_.size())
             return;
-        error_code code;
-        net::write(socket_, net::buffer(&bytes_[position], 1), code);
-        if (code)
-            return;
-        timer_.expires_after(drip_interval);
         auto self = shared_from_this();
-        timer_.async_wait(
-            [self, position](error_code) { self->drip(position + 1); });
+        net::async_write(
+            socket_,
+            net::buffer(&bytes_[position], 1),
+            [self, position](error_code code, std::size_t) {
+                if (code)
+                    return;
+                self->timer_.expires_after(drip_interval);
+                self->timer_.async_wait([self, position](error_code) {
+                    self->drip(position + 1);
+                });
+            });
     }
 
     tcp::socket socket_;
@@ -176,6 +177,7 @@
         parser_;
     standin_response response_;
     std::string bytes_;
+    std::array<char, 4096> discarded_{};
     bool keep_alive_ = true;
     bool close_on_next_ = false;
 };
