core, gateway: instances without a share of a replica's connections don't keep them

Cause: replicas allow 125 connections, and 195 instances each kept the one of their last request until the replica closed it.

Change: an instance that callers aren't told of, or each one if there are more of those than the limit allows, closes a connection that was idle for 250 ms. The others keep theirs.

--- a/core/include/peridotward/core/budgets/connection_share.hpp
+++ b/core/include/peridotward/core/budgets/connection_share.hpp
@@ -35,6 +35,16 @@
 
     [[nodiscard]] static std::uint32_t
     of(std::uint32_t bound, const fleet_view& fleet) noexcept;
+
+    /// Idle time after which a connection is closed that has no part of the
+    /// limit: some requests of one caller follow each other more closely.
+    static constexpr milliseconds max_unshared_idle{250};
+
+    /// \returns How long a connection may stay idle. If there are more
+    /// instances than a replica allows connections, those that each of them
+    /// kept would leave none for the others.
+    [[nodiscard]] static duration
+    max_idle(std::uint32_t bound, const fleet_view& fleet) noexcept;
 };
 
 } // namespace peridotward
--- a/core/src/budgets/connection_share.cpp
+++ b/core/src/budgets/connection_share.cpp
@@ -17,6 +17,17 @@
     return std::clamp(share, 1U, max_connections);
 }
 
+duration connection_share::max_idle(
+    std::uint32_t bound, const fleet_view& fleet) noexcept
+{
+    const auto instances = static_cast<double>(fleet.others.size()) + 1;
+    const auto senders = std::clamp<double>(fleet.senders, 1, instances);
+    const bool shared =
+        fleet.sends ? senders <= divided_share * bound
+                    : instances - senders <= (1 - divided_share) * bound;
+    return bound == 0 || shared ? duration::max() : duration{max_unshared_idle};
+}
+
 std::uint32_t connection_share::at(
     const replica& target,
     std::uint32_t bound,
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -36,7 +36,7 @@
     {}
 
     /// \brief Sends the request on an idle connection, opens one if there are
-    /// fewer than `max_connections`, or queues the request.
+    /// fewer than `limits` allow, or queues the request.
     ///
     /// \returns False when the request could neither be sent nor queued; it
     /// isn't reported then. Requests that are dropped from the queue later are
@@ -44,7 +44,7 @@
     [[nodiscard]] bool send(
         replica_number number,
         upstream_request request,
-        std::uint32_t max_connections);
+        const connection_limits& limits);
 
     /// \brief Opens a connection to find out whether the replica still listens,
     /// unless one is being opened.
@@ -74,7 +74,8 @@
     /// \brief Sends the replica's queued requests while connections are free.
     void send_waiting(replica_number number);
 
-    /// \brief Closes overdue connections and sends queued requests.
+    /// \brief Closes overdue connections and those that were idle for too long,
+    /// and sends queued requests.
     void check(time_point now);
 
     /// \brief Closes the idle connections of a replica that has ended and
@@ -136,7 +137,7 @@
     {
         connection_list connections; ///< Most recently used first.
         send_queue<upstream_request> waiting;
-        std::uint32_t max_connections = 1; ///< Set by the last `send`.
+        connection_limits limits; ///< Set by the last `send`.
     };
 
     [[nodiscard]] replica_connections& connections_of(replica_number number);
--- a/gateway/include/peridotward/gateway/upstream_request.hpp
+++ b/gateway/include/peridotward/gateway/upstream_request.hpp
@@ -31,6 +31,13 @@
     serialize_attempt(std::uint32_t attempt) const = 0;
 };
 
+/// \brief Limits on the connections to one replica.
+struct connection_limits
+{
+    std::uint32_t max_count = 1;
+    duration max_idle = duration::max(); ///< Of each of them.
+};
+
 /// \brief One attempt of a request, sent to one replica.
 struct upstream_request
 {
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -138,11 +138,13 @@
     if (!owner_->pool_.send(
             to_send.to,
             std::move(request),
-            connection_share::at(
-                target,
-                service.max_connections,
-                owner_->fleet_,
-                owner_->loop_->now())))
+            {connection_share::at(
+                 target,
+                 service.max_connections,
+                 owner_->fleet_,
+                 owner_->loop_->now()),
+             connection_share::max_idle(
+                 service.max_connections, owner_->fleet_)}))
         unsent_attempts_.push_back(to_send.attempt);
     if (to_send.extra)
         owner_->stats_->count(
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -53,7 +53,7 @@
         else if (idle_connection == nullptr)
             idle_connection = &connection;
     }
-    if (busy >= replica.max_connections)
+    if (busy >= replica.limits.max_count)
         return false;
     if (idle_connection != nullptr) {
         const boost::intrusive_ptr<upstream_connection> chosen{idle_connection};
@@ -62,7 +62,7 @@
         chosen->send(std::move(request));
         return true;
     }
-    if (count >= replica.max_connections)
+    if (count >= replica.limits.max_count)
         unusable_connection->close();
     const auto opened = open_connection(number);
     if (!opened)
@@ -95,7 +95,7 @@
         if (connection.connecting())
             return;
     }
-    if (count >= replica.max_connections)
+    if (count >= replica.limits.max_count)
         return;
     if (const auto opened = open_connection(number))
         replica.connections.push_front(*opened);
@@ -116,10 +116,10 @@
 bool upstream_pool::send(
     replica_number number,
     upstream_request request,
-    std::uint32_t max_connections)
+    const connection_limits& limits)
 {
     auto& replica = connections_of(number);
-    replica.max_connections = max_connections;
+    replica.limits = limits;
     if (replica.waiting.empty() && try_send(number, request))
         return true;
     if (!accepts_requests(number) || replica.connections.empty())
@@ -128,7 +128,7 @@
     const auto attempt = request.attempt;
     const auto urgency = request.urgency;
     auto evicted = replica.waiting.push(
-        std::move(request), urgency, max_connections, loop_->now());
+        std::move(request), urgency, limits.max_count, loop_->now());
     if (!evicted)
         return true;
     if (evicted->owner == owner && evicted->attempt == attempt)
@@ -189,7 +189,7 @@
         (void)replica.waiting.push(
             std::move(*request),
             urgency,
-            replica.max_connections + 1,
+            replica.limits.max_count + 1,
             loop_->now());
         return;
     }
@@ -223,8 +223,11 @@
     // A report may call `send`, which changes the lists.
     std::vector<boost::intrusive_ptr<upstream_connection>> overdue;
     for (auto& replica : connections_) {
+        const auto max_idle = replica.limits.max_idle;
         for (auto& connection : replica.connections) {
-            if (connection.overdue(now))
+            const bool unneeded =
+                connection.idle() && now - connection.idle_since() > max_idle;
+            if (unneeded || connection.overdue(now))
                 overdue.emplace_back(&connection);
         }
     }
--- a/gateway/tests/recording_owner.hpp
+++ b/gateway/tests/recording_owner.hpp
@@ -22,7 +22,7 @@
         request.owner = this;
         request.attempt = attempt;
         request.expires_at = pool.loop().now() + timeout;
-        return pool.send(0, std::move(request), max_connections);
+        return pool.send(0, std::move(request), {max_connections});
     }
     void on_attempt_written(std::uint32_t) override {}
     [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -1,7 +1,6 @@
 #include <peridotward/gateway/upstream_pool.hpp>
 
 #include <catch2/catch.hpp>
-
 #include <sys/socket.h>
 
 #include <utility>
@@ -29,7 +28,7 @@
         request.owner = this;
         request.attempt = replica;
         request.expires_at = expires_at_;
-        sent += pool_->send(replica, std::move(request), 4) ? 1 : 0;
+        sent += pool_->send(replica, std::move(request), {4}) ? 1 : 0;
     }
 
     std::uint32_t ended = 0;
@@ -128,7 +127,7 @@
         request.owner = this;
         request.attempt = attempt;
         request.expires_at = to.clock.now() + timeout;
-        return to.pool.send(0, std::move(request), 1);
+        return to.pool.send(0, std::move(request), {1, max_idle});
     }
     void on_attempt_written(std::uint32_t attempt) override
     {
@@ -142,6 +141,7 @@
 
     std::vector<std::pair<std::uint32_t, forward_outcome>> ended;
     std::vector<std::uint32_t> written;
+    duration max_idle = duration::max();
 
 private:
     void on_attempt_end(
@@ -262,3 +262,18 @@
     CHECK_FALSE(replica.pool.withdraw_unsent(0, *owner, 1));
     replica.pool.abort_all(*owner);
 }
+
+TEST_CASE("pool: connections are closed after their max idle time", "[pool]")
+{
+    silent_replica replica;
+    REQUIRE(replica.listener);
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    owner->max_idle = milliseconds{250};
+    REQUIRE(owner->send(replica, 0, seconds{9}));
+    REQUIRE(replica.pool.withdraw_unsent(0, *owner, 0));
+    replica.loop.run_once();
+    replica.advance_time(milliseconds{200});
+    CHECK(replica.pool.connection_count() == 1);
+    replica.advance_time(milliseconds{100});
+    CHECK(replica.pool.connection_count() == 0);
+}
