--- a/core/include/peridotward/core/admission/load_shedder.hpp
+++ b/core/include/peridotward/core/admission/load_shedder.hpp
@@ -5,6 +5,8 @@
 #include <peridotward/core/admission/decaying_mean.hpp>
 #include <peridotward/core/placement/replica_health.hpp>
 
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include <array>
 #include <cstddef>
 #include <vector>
@@ -55,6 +57,8 @@
 /// follows utilization. While the load is unknown, the share grows until all
 /// requests are admitted. Sans-IO.
 class load_shedder
+    : public boost::
+          intrusive_ref_counter<load_shedder, boost::thread_unsafe_counter>
 {
 public:
     /// Utilization that the admitted share steers for. Pauses, slow answers and
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -344,7 +344,7 @@
     /// answer misses the target latency.
     bool full_value_passed_ = false;
     bool late_deadline_passed_ = false;
-    load_shedder* shedder_ = nullptr;
+    boost::intrusive_ptr<load_shedder> shedder_;
     bool shed_ = false;
     bool trial_ = false;
     bool ended_ = false;
--- a/core/src/admission/load_report_exchange.cpp
+++ b/core/src/admission/load_report_exchange.cpp
@@ -38,19 +38,19 @@
 {
     if (fleet.others.empty())
         return;
-    for (auto& [services, shedder] : shedders_->all()) {
-        if (shedder.wants_reports())
+    for (const auto& [services, shedder] : shedders_->all()) {
+        if (shedder->wants_reports())
             wanted_at_[services] = now;
         const auto wanted_at = wanted_at_.find(services);
         const bool wanted = wanted_at != wanted_at_.end() &&
                             now - wanted_at->second < wanted_time;
-        if (!wanted ||
-            now - shedder.reported_at() > load_shedder::deviation_time_constant)
+        if (!wanted || now - shedder->reported_at() >
+                           load_shedder::deviation_time_constant)
             continue;
         load_reports message;
         message.services = services;
-        message.wanted = shedder.wants_reports();
-        const auto loads = shedder.own_loads(now);
+        message.wanted = shedder->wants_reports();
+        const auto loads = shedder->own_loads(now);
         message.share = to_units(loads.share, share_unit, 1 / share_unit);
         message.mean = to_units(loads.all.mean, mean_unit, max_weight_units);
         message.weight =
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -190,7 +190,7 @@
 {
     if (context.shedders == nullptr)
         return true;
-    shedder_ = &context.shedders->of(service(0).name, parts_.size());
+    shedder_ = context.shedders->of(service(0).name, parts_.size());
     const bool in_time = now + profile.median() < times_.full_value_until;
     return shedder_->try_admit(
         in_time ? request_freshness::fresh : request_freshness::late,
--- a/core/tests/load_shedder_test.cpp
+++ b/core/tests/load_shedder_test.cpp
@@ -164,10 +164,29 @@
     "[load shedder]")
 {
     load_shedders shedders;
-    report(shedders.of("a", 2), 0, 2, queueing, start, seconds{1});
-    CHECK(shedders.of("a", 2).sheds());
-    CHECK_FALSE(shedders.of("a", 3).sheds());
-    CHECK_FALSE(shedders.of("b", 2).sheds());
+    report(*shedders.of("a", 2), 0, 2, queueing, start, seconds{1});
+    CHECK(shedders.of("a", 2)->sheds());
+    CHECK_FALSE(shedders.of("a", 3)->sheds());
+    CHECK_FALSE(shedders.of("b", 2)->sheds());
+}
+
+TEST_CASE(
+    "load shedders: those of services that no route uses are removed",
+    "[load shedder]")
+{
+    load_shedders shedders;
+    for (const auto* const name : {"a", "b", "c"})
+        report(*shedders.of(name, 1), 0, 1, queueing, start, seconds{1});
+    forward_config config;
+    config.services = {{"a", "/", 0, {}, 0}, {"b", "/", 0, {}, 0}};
+    config.routes.resize(2);
+    config.routes[0].targets = {{0, 1}};
+    config.routes[1].shards = {1};
+    shedders.keep_only(config);
+    CHECK(shedders.all().size() == 2);
+    CHECK(shedders.of("a", 1)->sheds());
+    CHECK(shedders.of("b", 1)->sheds());
+    CHECK_FALSE(shedders.of("c", 1)->sheds());
 }
 
 TEST_CASE(
@@ -178,7 +197,8 @@
     load_report_exchange exchange{shedders, random};
     fleet_view fleet;
     fleet.others = {"1", "2", "3"};
-    const auto now = report(shedders.of("a", 2), 0, 2, idle, start, seconds{1});
+    const auto now =
+        report(*shedders.of("a", 2), 0, 2, idle, start, seconds{1});
     std::vector<outgoing_message> sent;
     exchange.poll(fleet, now, sent);
     CHECK(sent.empty());
@@ -195,17 +215,17 @@
     load_report_exchange receiver{informed, random};
     fleet_view fleet;
     fleet.others = {"1", "2", "3"};
-    auto& shedder = informed.of("a", 2);
+    const auto shedder = informed.of("a", 2);
     auto now = start;
     for (int i = 0; i < 10; ++i) {
         now = report(
-            overloaded.of("a", 2), 0, 2, queueing, now, milliseconds{100});
+            *overloaded.of("a", 2), 0, 2, queueing, now, milliseconds{100});
         std::vector<outgoing_message> sent;
         sender.poll(fleet, now, sent);
         for (const auto& each : sent)
             receiver.on_message(std::get<load_reports>(each.message), now);
     }
-    CHECK(shedder.sheds());
+    CHECK(shedder->sheds());
 }
 
 TEST_CASE(
@@ -214,7 +234,7 @@
     load_shedders shedders;
     random_source random{1};
     load_report_exchange exchange{shedders, random};
-    auto& shedder = shedders.of("a", 2);
+    const auto shedder = shedders.of("a", 2);
     load_reports message;
     message.services = "a/2";
     SECTION("of another set")
@@ -239,6 +259,6 @@
     }
     for (int i = 0; i < 20; ++i)
         exchange.on_message(message, start + i * milliseconds{100});
-    CHECK(shedder.share() >= load_shedder::min_share);
-    CHECK_FALSE(shedder.sheds());
+    CHECK(shedder->share() >= load_shedder::min_share);
+    CHECK_FALSE(shedder->sheds());
 }
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -1,5 +1,8 @@
 #include "control_handler.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace peridotward {
 
 std::string control_handler::render_metrics() const
@@ -37,6 +40,16 @@
     gauge("replicas_leaving", leaving);
     gauge("replicas_paused", paused);
     gauge("replicas_rate_limited", rate_limited);
+    std::uint64_t overloaded = 0;
+    double admitted = 1;
+    for (const auto& [services, shedder] : forwarding_->shedders().all()) {
+        overloaded += shedder->sheds() ? 1 : 0;
+        admitted = std::min(admitted, shedder->share());
+    }
+    gauge("overloaded_service_sets", overloaded);
+    gauge(
+        "least_admitted_percent",
+        static_cast<std::uint64_t>(std::lround(admitted * 100)));
     gauge("requests_suspected", forwarding_->crashes().size());
     gauge("requests_quarantined", forwarding_->crashes().quarantined());
     return text;
@@ -74,6 +87,13 @@
              {"in_flight", replica.health.in_flight()},
              {"unreachable", replica.health.unreachable(now)}});
     }
+    auto& service_sets = dump["service_sets"] = json::array();
+    for (const auto& [services, shedder] : forwarding_->shedders().all())
+        service_sets.push_back(
+            {{"services", services},
+             {"admitted", shedder->share()},
+             {"utilization", shedder->utilization()},
+             {"mean_utilization", shedder->mean()}});
     dump["barred_domains"] = catalog.excluded_domains();
     auto& members = dump["members"] = json::array();
     for (const auto& [id, member] : peers_->members().members())
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -148,6 +148,7 @@
          {"routes", config->routes.size()},
          {"services", config->services.size()}});
     config_ = std::move(config);
+    load_shedders_.keep_only(*config_);
     turns_.reset();
 }
 
@@ -350,25 +351,28 @@
     const auto percent = [](double part) {
         return static_cast<std::uint64_t>(part * 100);
     };
+    std::erase_if(next_shedding_log_, [&](const auto& logged) {
+        return load_shedders_.find(logged.first) == nullptr;
+    });
     for (const auto& [services, shedder] : load_shedders_.all()) {
         const auto logged = next_shedding_log_.find(services);
         const bool was_shedding = logged != next_shedding_log_.end();
-        if (shedder.sheds() ? was_shedding && now < logged->second
-                            : !was_shedding)
+        if (shedder->sheds() ? was_shedding && now < logged->second
+                             : !was_shedding)
             continue;
-        if (shedder.sheds())
+        if (shedder->sheds())
             next_shedding_log_[services] = now + shedding_log_interval;
         else
             next_shedding_log_.erase(logged);
         log_->write(
             now,
             event_severity::notable,
-            shedder.sheds() ? "upstreams_overloaded" : "upstreams_relieved",
+            shedder->sheds() ? "upstreams_overloaded" : "upstreams_relieved",
             {{"services", services},
-             {"admitted_percent", percent(shedder.share())},
-             {"utilization_percent", percent(shedder.utilization())},
-             {"mean_percent", percent(shedder.mean())},
-             {"report_age", now - shedder.reported_at()}});
+             {"admitted_percent", percent(shedder->share())},
+             {"utilization_percent", percent(shedder->utilization())},
+             {"mean_percent", percent(shedder->mean())},
+             {"report_age", now - shedder->reported_at()}});
     }
 }
 
