gateway: requests that have arrived are served when a connection or listener is closed

Cause: at a planned stop the listener was closed with the connections that waited to be accepted, and idle connections were closed whatever had arrived on them; the system then resets them, with the request unread. The end of the idle time did the same. A connection that was made 3.3 s after the stop began was closed before its first request could arrive.

Change: what waits is accepted first, a connection with unread bytes isn't idle, one that has just been made or answered has 200 ms for the next request, and a stop waits for requests that have arrived in part.

--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -57,6 +57,9 @@
     static constexpr milliseconds linger_time{1000};
     /// Max time in which a caller takes nothing of its answer.
     static constexpr milliseconds write_timeout{10000};
+    /// Time without a request after which a connection counts as idle at a
+    /// stop: the request of a caller that has just connected is on its way.
+    static constexpr milliseconds min_idle_time{200};
 
     http_session(
         reactor& loop, accepted_connection accepted, http_handler& handler);
@@ -105,6 +108,9 @@
         return phase_ == phase::answering || !output_.empty();
     }
 
+    /// \returns Whether an answer is owed, or a part of a request has arrived.
+    [[nodiscard]] bool has_request() const noexcept;
+
     /// The handler's state of the current request; reset by the answer.
     boost::intrusive_ptr<request_state> state;
 
@@ -117,6 +123,7 @@
         closed,
     };
 
+    [[nodiscard]] bool has_unread_bytes() const noexcept;
     void on_events(std::uint32_t events) override;
     void receive();
     void parse();
@@ -158,7 +165,7 @@
 
     [[nodiscard]] result<void> open(const endpoint& address);
 
-    /// \brief Stops accepting connections.
+    /// \brief Stops accepting connections, after those that wait for it.
     void close();
 
     /// \brief Enforces the timeouts of all connections.
@@ -167,11 +174,14 @@
     /// \brief Closes the connections that have no open request.
     void close_idle();
 
-    /// \returns The number of connections whose answer isn't sent yet.
+    /// \returns The number of connections with an open request.
     [[nodiscard]] std::size_t busy() const;
 
 private:
     void on_events(std::uint32_t events) override;
+    /// \returns Whether a connection was waiting.
+    bool accept();
+    void stop_listening();
 
     reactor* loop_;
     http_handler* handler_;
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -248,7 +249,9 @@
         const bool started = reader_ != nullptr;
         if (started && now - start_time_ > limits.header_timeout)
             refuse(408);
-        else if (!started && now - idle_since_ > limits.idle_timeout)
+        else if (
+            !started && now - idle_since_ > limits.idle_timeout &&
+            !has_unread_bytes())
             close();
     }
 }
@@ -256,10 +259,23 @@
 void http_session::close_if_idle()
 {
     const boost::intrusive_ptr<http_session> guard{this};
-    if (phase_ == phase::reading && output_.empty() && !reader_)
+    if (phase_ == phase::reading && !has_request() &&
+        loop_->now() - idle_since_ >= min_idle_time)
         close();
 }
 
+bool http_session::has_unread_bytes() const noexcept
+{
+    int count = 0;
+    return ::ioctl(socket_.descriptor(), FIONREAD, &count) == 0 && count > 0;
+}
+
+bool http_session::has_request() const noexcept
+{
+    return busy() ||
+           (phase_ == phase::reading && (reader_ || has_unread_bytes()));
+}
+
 void http_session::close()
 {
     if (phase_ == phase::closed)
@@ -277,7 +293,7 @@
 
 http_listener::~http_listener()
 {
-    close();
+    stop_listening();
 }
 
 result<void> http_listener::open(const endpoint& address)
@@ -291,6 +307,15 @@
 }
 
 void http_listener::close()
+{
+    if (!socket_)
+        return;
+    while (accept()) {
+    }
+    stop_listening();
+}
+
+void http_listener::stop_listening()
 {
     if (!socket_)
         return;
@@ -302,13 +327,19 @@
 {
     // Accepts one connection per event: a second call would mostly fail with
     // EAGAIN, and level-triggered epoll reports further connections again.
+    accept();
+}
+
+bool http_listener::accept()
+{
     auto accepted = accept_tcp(socket_.descriptor());
     if (!accepted.socket)
-        return;
+        return false;
     const boost::intrusive_ptr<http_session> session{
         new http_session{*loop_, std::move(accepted), *handler_}};
     sessions_.push_back(*session);
     session->start();
+    return true;
 }
 
 void http_listener::check(time_point now)
@@ -331,7 +362,7 @@
 {
     std::size_t count = 0;
     for (const auto& session : sessions_)
-        count += session.busy() ? 1 : 0;
+        count += session.has_request() ? 1 : 0;
     return count;
 }
 
