core: the number of store readers grows with the fleet and its failure domains

Cause: three instances relayed all changes whatever the size: at 740 instances one of them told 259 others, and in five failure domains those of two got each change from another domain.

Change: a failure domain of 32 instances or more has a reader of its own, and there is one for each 128 instances.

Test: "store readers: no reader serves many instances or other large domains" at 79, 195 and 740 instances; failed before at 195 (78 instances asked another domain) and 740 (296; 259 followers).

--- a/core/src/discovery/store_reader_plan.cpp
+++ b/core/src/discovery/store_reader_plan.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace peridotward {
 
@@ -53,6 +54,20 @@
 
 } // namespace
 
+std::size_t
+store_reader_count(std::size_t instances, std::size_t domains) noexcept
+{
+    const auto by_size =
+        (instances + store_reader_plan::max_instances_per_reader - 1) /
+        store_reader_plan::max_instances_per_reader;
+    const bool large_domains =
+        instances >= store_reader_plan::min_domain_size * domains;
+    return std::max(
+        {store_reader_plan::reader_count,
+         by_size,
+         large_domains ? domains : std::size_t{}});
+}
+
 store_reader_plan plan_store_readers(const membership& members)
 {
     store_reader_plan plan;
@@ -60,7 +75,12 @@
     if (ranked.size() <= store_reader_plan::small_fleet_size)
         return plan;
     ranked = spread_over_domains(ranked);
-    ranked.resize(std::min(ranked.size(), store_reader_plan::reader_count));
+    std::set<std::string_view> domains;
+    for (const auto& each : ranked)
+        domains.insert(each.domain);
+    const auto readers = store_reader_count(ranked.size(), domains.size());
+    domains.clear();
+    ranked.resize(std::min(ranked.size(), readers));
     const auto& self = members.self();
     const auto own =
         std::find_if(ranked.begin(), ranked.end(), [&](const candidate& each) {
