core: a queue at some replicas alone is no overload

Single reports of hardly used services, some seconds old, caused refusals too.

Change: the busiest service that a request can't do without may have one waiting request for each slot; the mean of all services keeps its target. Fewer than three reports count as unknown. Hedges end when the share is reduced, or from a mean utilization of 0.85. The share falls faster while queues grow.

--- a/core/include/peridotward/core/admission/load_shedder.hpp
+++ b/core/include/peridotward/core/admission/load_shedder.hpp
@@ -64,9 +64,12 @@
     /// Utilization that the admitted share steers for. Pauses, slow answers and
     /// the uneven use of replicas need the rest.
     static constexpr double target_utilization = 0.95;
-    /// Utilization from which no hedges are sent, so that they end before any
-    /// request is refused.
-    static constexpr double max_hedge_utilization = 0.75;
+    /// Utilization that the busiest service may have that a request can't do
+    /// without: one request waits for each slot. Other replicas and hedges make
+    /// up for more of the queue at one replica than at all.
+    static constexpr double max_service_utilization = 1.25;
+    /// Mean utilization from which no hedges are sent.
+    static constexpr double max_hedge_utilization = 0.85;
     /// Time between two adjustments: some answers of each service.
     static constexpr milliseconds adjust_interval{100};
     /// Time constants with which reported loads lose weight: in the mean of all
@@ -114,10 +117,10 @@
     [[nodiscard]] bool sheds() const noexcept { return share_ < shed_below; }
 
     /// \returns Whether replicas have room for attempts that a request could do
-    /// without.
+    /// without; they end before any request is refused.
     [[nodiscard]] bool has_spare_capacity() const noexcept
     {
-        return !sheds() && utilization_ < max_hedge_utilization;
+        return share_ >= 1 && mean_ < max_hedge_utilization;
     }
 
     /// \returns Whether reports of other instances are wanted: some requests
@@ -127,8 +130,9 @@
         return sheds() || suspects_overload_;
     }
 
-    /// \returns The utilization of the busiest service that a request can't do
-    /// without, which the share was last adjusted to.
+    /// \returns The utilization that the share was last adjusted to: the mean
+    /// of all services, or that of the busiest one that a request can't do
+    /// without, relative to what it may have.
     [[nodiscard]] double utilization() const noexcept { return utilization_; }
 
     /// \returns The mean utilization of all services at that time.
@@ -144,8 +148,7 @@
     /// \returns The mean utilization of all services.
     [[nodiscard]] double mean_utilization(time_point now);
     void adjust(time_point now);
-    /// \brief Estimates the utilization of the busiest service that a request
-    /// can't do without.
+    /// \brief Estimates the utilization that the share follows.
     void estimate_utilization(time_point now);
     /// \returns The largest of `deviations` but for those of `spare_` services.
     [[nodiscard]] double decisive(std::vector<double>& deviations) const;
--- a/core/src/admission/load_shedder.cpp
+++ b/core/src/admission/load_shedder.cpp
@@ -21,7 +21,7 @@
 constexpr double adjust_exponent = 0.4;
 /// Increase of the exponent by the utilization above 1: a queue that grows has
 /// to end soon.
-constexpr double queue_exponent = 0.8;
+constexpr double queue_exponent = 1.2;
 /// Limits of one adjustment.
 constexpr double max_decrease = 0.4;
 constexpr double max_increase = 1.5;
@@ -29,7 +29,7 @@
 constexpr double unknown_increase = 1.15;
 /// Standard deviation of the utilization in a single report.
 constexpr double report_deviation = 0.6;
-/// Reports of a service from which its deviation counts.
+/// Reports from which the mean, or the deviation of a service, counts.
 constexpr double min_reports = 3;
 /// Reports of each service from which an instance needs no others.
 constexpr double min_own_weight = 0.5;
@@ -140,16 +140,23 @@
         certain_deviations.push_back(std::copysign(certain, deviation));
     }
     mean_ = mean_utilization(now);
+    constexpr double scale = target_utilization / max_service_utilization;
+    const auto binding = [&](std::vector<double>& each) {
+        return std::max(mean_, (mean_ + decisive(each)) * scale);
+    };
     utilization_ = std::clamp(
-        mean_ + decisive(certain_deviations), min_utilization, max_utilization);
-    suspects_overload_ = mean_ + decisive(deviations) > target_utilization;
+        binding(certain_deviations), min_utilization, max_utilization);
+    suspects_overload_ = binding(deviations) > target_utilization;
 }
 
 void load_shedder::adjust(time_point now)
 {
     if (now - adjusted_at_ < adjust_interval)
         return;
-    if (std::exchange(reported_, false)) {
+    const bool known =
+        std::max(own_mean_.weight(now), mean_of_all_.weight(now)) >=
+        min_reports;
+    if (std::exchange(reported_, false) && known) {
         estimate_utilization(now);
         const double exponent =
             adjust_exponent + queue_exponent * std::max(0.0, utilization_ - 1);
@@ -158,7 +165,7 @@
         share_ *= std::clamp(factor, max_decrease, max_increase);
     }
     const std::chrono::duration<double> unknown =
-        now - std::max(adjusted_at_, informed_at_);
+        known ? now - std::max(adjusted_at_, informed_at_) : now - adjusted_at_;
     const std::chrono::duration<double> interval = adjust_interval;
     if (unknown > interval)
         share_ *= std::pow(unknown_increase, unknown / interval);
