--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -68,6 +68,9 @@
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
+        // Sockets of the stand-ins, also those of other seeds, would keep their
+        // addresses and connections in use.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execl(
             program_.c_str(),
             program_.c_str(),
