--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -163,9 +163,8 @@
                 if (code)
                     return;
                 self->timer_.expires_after(drip_interval);
-                self->timer_.async_wait([self, position](error_code) {
-                    self->drip(position + 1);
-                });
+                self->timer_.async_wait(
+                    [self, position](error_code) { self->drip(position + 1); });
             });
     }
 
