gateway: a relayed request that couldn't run is relayed again

Cause: an instance that has just started while the way to the replicas is cut doesn't know that it is cut off for 0.6 s. It answered relayed requests as not run, at once, and the instance that had relayed them passed that on to the caller. Refusing at once, it also looked the least loaded and got the most.

Change: such an answer says that nothing was run, the request goes to another instance, and the one that refused gets few requests for a second. A refusal because of overload is passed on as before, since it holds for all instances.

--- a/core/include/peridotward/core/membership/relay_targets.hpp
+++ b/core/include/peridotward/core/membership/relay_targets.hpp
@@ -18,6 +18,7 @@
 {
     served,   ///< It answered, or may still have done so.
     declined, ///< It has an older route for the request; nothing was run.
+    not_run,  ///< It found no replica that it could use; nothing was run.
     cut_off,  ///< It reaches no upstream either; nothing was run.
     failed,   ///< It could not be reached, or broke off.
 };
@@ -27,7 +28,8 @@
 ///
 /// \remarks Requests are spread by capacity and by what this instance has open
 /// at each; busy instances get fewer. Instances that failed or are cut off too
-/// get none for a while.
+/// get none for a while. One that couldn't run a request may be cut off without
+/// knowing it yet, and would look the least loaded: it gets few for a while.
 class relay_targets
 {
 public:
@@ -35,9 +37,12 @@
     static constexpr milliseconds failure_time{1000};
     /// The same for one that is cut off, which costs a round trip to find out.
     static constexpr milliseconds cut_off_time{250};
+    /// Time for which an instance that couldn't run a request gets fewer.
+    static constexpr milliseconds not_run_time{1000};
     /// Factors on the share of an instance, by its load.
     static constexpr double busy_factor = 0.5;
     static constexpr double full_factor = 0.1;
+    static constexpr double not_run_factor = 0.01;
     /// Max requests of this instance that one other has at the same time.
     static constexpr std::uint32_t max_open = 64;
 
@@ -62,6 +67,7 @@
     {
         std::uint32_t open = 0;
         time_point avoid_until;
+        time_point not_run_until;
     };
 
     random_source* random_;
--- a/core/src/membership/relay_targets.cpp
+++ b/core/src/membership/relay_targets.cpp
@@ -42,7 +42,8 @@
             continue;
         const double capacity =
             candidate.capacity > 0 ? candidate.capacity : default_capacity;
-        const double share = random_->unit() * capacity *
+        const double doubt = now < state.not_run_until ? not_run_factor : 1;
+        const double share = random_->unit() * capacity * doubt *
                              load_factor(candidate.load) / (1 + state.open);
         if (best == nullptr || share > best_share) {
             best = &candidate;
@@ -64,6 +65,9 @@
     case relay_result::served:
     case relay_result::declined:
         break;
+    case relay_result::not_run:
+        state.not_run_until = now + not_run_time;
+        break;
     case relay_result::cut_off:
         state.avoid_until = now + cut_off_time;
         break;
--- a/core/tests/relay_targets_test.cpp
+++ b/core/tests/relay_targets_test.cpp
@@ -194,3 +194,28 @@
         CHECK(targets.choose({serving[1]}, "self", {}, start));
     CHECK_FALSE(targets.choose({serving[1]}, "self", {}, start));
 }
+
+// Guards against an instance that is cut off without knowing it yet: refusing
+// at once, it looks the least loaded.
+TEST_CASE(
+    "relay targets: an instance that can't run requests gets few", "[relay]")
+{
+    random_source random{5};
+    relay_targets targets{random};
+    const std::vector<instance_candidate> serving{instance(0), instance(1)};
+    REQUIRE(targets.choose({serving[0]}, "self", {}, start));
+    targets.on_end("instance-0", relay_result::not_run, start);
+    const auto count_first = [&](time_point now) {
+        std::size_t first = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const auto target = targets.choose(serving, "self", {}, now);
+            REQUIRE(target);
+            first += target->id == "instance-0" ? 1 : 0;
+            targets.on_end(target->id, relay_result::served, now);
+        }
+        return first;
+    };
+    CHECK(count_first(start) < 50);
+    CHECK(count_first(start + relay_targets::not_run_time) > 300);
+    CHECK(targets.choose({serving[0]}, "self", {}, start));
+}
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -33,10 +33,11 @@
     /// starting instance reads its configuration within this time.
     static constexpr milliseconds retry_after_start{250};
 
-    /// Values of the field `relayed` in an answer: the instance is cut off, or
-    /// has an older route for the request.
+    /// Values of the field `relayed` in an answer: the instance is cut off, has
+    /// an older route for the request, or found no replica that it could use.
     static constexpr std::string_view relayed_cut_off = "cut-off";
     static constexpr std::string_view relayed_declined = "older-route";
+    static constexpr std::string_view relayed_not_run = "not-run";
     /// Reason of refusals while the upstreams are overloaded.
     static constexpr std::string_view overloaded =
         "not run: the upstreams are overloaded";
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -303,6 +303,13 @@
     const std::uint32_t status = end == forward_end::not_run     ? 503
                                  : end == forward_end::timed_out ? 504
                                                                  : 502;
+    // The instance that relayed the request may ask another one.
+    if (end == forward_end::not_run && !request_.shed() &&
+        session.request().fields.find(owner_->names_->relayed)) {
+        owner_->refuse_unreachable(
+            session, name_of(end), forwarder::relayed_not_run);
+        return;
+    }
     milliseconds retry_after{};
     if (end == forward_end::not_run) {
         const auto now = owner_->loop_->now();
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -202,8 +202,9 @@
     const auto relayed = answer_.fields.find(owner_->names_->relayed);
     if (answer_.status == service_unavailable && relayed) {
         skip_target(
-            *relayed == forwarder::relayed_declined ? relay_result::declined
-                                                    : relay_result::cut_off);
+            *relayed == forwarder::relayed_declined  ? relay_result::declined
+            : *relayed == forwarder::relayed_not_run ? relay_result::not_run
+                                                     : relay_result::cut_off);
         return;
     }
     end_target(relay_result::served);
