soak: an instance without a configuration is starting

Cause: the check of cut-off instances leaves out the time in which any instance restarts, but took a restart for ended 0.3 to 0.6 s after the process was started.

Change: while an instance refuses for lack of a configuration it counts as starting. In exchange every such refusal has to lie within a fault of that instance or of the store and the 4 s after it, which wasn't checked before.

--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -27,6 +27,13 @@
            " ms";
 }
 
+/// \returns Whether the instance had no configuration yet.
+bool is_unconfigured(const attempt_record& record)
+{
+    return record.status == 503 &&
+           record.body.find("no configuration yet") != std::string::npos;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -188,6 +195,7 @@
     check_destinations(violations);
     check_planned_stops(violations);
     check_configuration(violations);
+    check_starts(violations);
     check_downgrades(violations);
     check_extra_attempts(violations);
     check_leaving(violations);
@@ -335,6 +343,17 @@
     }
 }
 
+void invariant_checker::check_starts(std::vector<std::string>& violations) const
+{
+    for (const auto& record : attempts_) {
+        if (is_unconfigured(record) &&
+            !is_disturbed(record.instance, record.sent, record.ended))
+            violations.push_back(
+                "without a configuration: " + record.id + " at instance " +
+                std::to_string(record.instance));
+    }
+}
+
 void invariant_checker::check_downgrades(
     std::vector<std::string>& violations) const
 {
@@ -538,14 +557,26 @@
 void invariant_checker::check_cuts(std::vector<std::string>& violations) const
 {
     // Until the others know it, an instance that is paused or was killed gets
-    // requests of those that are cut off.
+    // requests of those that are cut off. One without a configuration is still
+    // starting.
+    std::vector<disturbance> interruptions;
+    for (const auto& span : disturbances_) {
+        if (span.kind == disturbance_kind::paused ||
+            span.kind == disturbance_kind::restarted)
+            interruptions.push_back(span);
+    }
+    for (const auto& record : attempts_) {
+        if (is_unconfigured(record))
+            interruptions.push_back(
+                {record.instance,
+                 record.sent,
+                 record.ended,
+                 disturbance_kind::restarted});
+    }
     const auto any_interrupted = [&](const attempt_record& record) {
         return std::any_of(
-            disturbances_.begin(), disturbances_.end(), [&](const auto& span) {
-                const bool unannounced =
-                    span.kind == disturbance_kind::paused ||
-                    span.kind == disturbance_kind::restarted;
-                return unannounced && span.from <= record.ended &&
+            interruptions.begin(), interruptions.end(), [&](const auto& span) {
+                return span.from <= record.ended &&
                        record.sent <= span.until + interruption_allowance;
             });
     };
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -185,6 +185,7 @@
     void check_destinations(std::vector<std::string>& violations) const;
     void check_planned_stops(std::vector<std::string>& violations) const;
     void check_configuration(std::vector<std::string>& violations) const;
+    void check_starts(std::vector<std::string>& violations) const;
     void check_downgrades(std::vector<std::string>& violations) const;
     void check_extra_attempts(std::vector<std::string>& violations) const;
     void check_leaving(std::vector<std::string>& violations) const;
