soak: a link that is cut accepts no connection any more

A connection whose acceptance was under way when the link was closed was still relayed, so that one replica stayed reachable for an instance that is cut off. Found by reading, while the failures 'cut off' were traced; no run showed it.

--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -143,7 +143,8 @@
 void proxy::accept()
 {
     acceptor_.async_accept([this](error_code code, tcp::socket socket) {
-        if (code)
+        // The connection may have arrived before the link was closed.
+        if (code || !acceptor_.is_open())
             return;
         close_on_exec(socket);
         const auto pair =
