core: retries after a start are spread by the rate served since

Cause: the retry schedule takes the mean rate of served requests over 5 s, which is near zero just after a start; refused callers then return at 10 a second and instance, the least allowed.

Change: the higher of the mean rates over 5 s and over 0.5 s counts.

"retry schedule: after a start, refused callers retry at half of the rate served since" failed before: the longest wait of 20 callers was 1,900 ms, at 100 served a second; bound 1,000 ms.

--- a/core/include/peridotward/core/admission/retry_schedule.hpp
+++ b/core/include/peridotward/core/admission/retry_schedule.hpp
@@ -24,8 +24,11 @@
     /// Applies at the start and while nothing is served; equals one instance's
     /// part of a slow service.
     static constexpr double min_rate = 20;
-    /// Time constant of the exponential decay of the rate.
-    static constexpr seconds rate_time_constant{5};
+    /// Time constants of the exponential decay of the rate; the higher rate
+    /// counts. The short one follows the rate of a process that has just
+    /// started, or that a burst reaches after an idle time.
+    static constexpr milliseconds rate_time_constant{5000};
+    static constexpr milliseconds burst_time_constant{500};
     /// Maximum wait given to a caller; callers give up after longer waits.
     static constexpr seconds max_wait{5};
 
@@ -44,6 +47,7 @@
 
 private:
     double rate_ = 0;
+    double burst_rate_ = 0;
     time_point rate_at_;
     /// By priority: the next retry time to assign.
     std::map<std::int32_t, time_point> next_;
--- a/core/src/admission/retry_schedule.cpp
+++ b/core/src/admission/retry_schedule.cpp
@@ -5,17 +5,36 @@
 
 namespace peridotward {
 
+namespace {
+
+double decayed(double rate, duration elapsed, milliseconds constant) noexcept
+{
+    const std::chrono::duration<double> time_constant = constant;
+    return rate * std::exp(-std::max(0.0, elapsed / time_constant));
+}
+
+double increase(milliseconds constant) noexcept
+{
+    return 1 / std::chrono::duration<double>{constant}.count();
+}
+
+} // namespace
+
 double retry_schedule::rate(time_point now) const noexcept
 {
-    const std::chrono::duration<double> elapsed = now - rate_at_;
-    const std::chrono::duration<double> time_constant = rate_time_constant;
-    return rate_ * std::exp(-std::max(0.0, elapsed / time_constant));
+    const auto elapsed = now - rate_at_;
+    return std::max(
+        decayed(rate_, elapsed, rate_time_constant),
+        decayed(burst_rate_, elapsed, burst_time_constant));
 }
 
 void retry_schedule::on_served(time_point now) noexcept
 {
-    const std::chrono::duration<double> time_constant = rate_time_constant;
-    rate_ = rate(now) + 1 / time_constant.count();
+    const auto elapsed = now - rate_at_;
+    rate_ = decayed(rate_, elapsed, rate_time_constant) +
+            increase(rate_time_constant);
+    burst_rate_ = decayed(burst_rate_, elapsed, burst_time_constant) +
+                  increase(burst_time_constant);
     rate_at_ = now;
 }
 
--- a/core/tests/retry_schedule_test.cpp
+++ b/core/tests/retry_schedule_test.cpp
@@ -46,6 +46,23 @@
     }
 }
 
+// Load pattern: all instances have lost power, and the callers that waited come
+// at once.
+TEST_CASE(
+    "retry schedule: after a start, refused callers retry at half of the rate "
+    "served since",
+    "[admission]")
+{
+    retry_schedule schedule;
+    auto now = start;
+    for (; now < start + milliseconds{400}; now += milliseconds{10})
+        schedule.on_served(now);
+    milliseconds longest{};
+    for (int i = 0; i < served_rate / 5; ++i)
+        longest = std::max(longest, schedule.reserve(1, now, now));
+    CHECK(longest <= milliseconds{1000});
+}
+
 TEST_CASE("retry schedule: more urgent callers retry first", "[admission]")
 {
     auto schedule = steady_schedule();
