core: queues that get shorter by themselves cause no refusal

Cause: the shedder reduced the admitted share at the first estimate above its target. With the refusals, callers came back late and the share took until 35.5 s to recover, while the replicas were nearly idle.

Change: the share shrinks when the utilization has been above the target twice in a row and isn't falling, or is 1.9 or more; at the onset also only while the rate of requests is near its recent peak.

"load shedder: a queue that gets shorter by itself causes no refusal" failed before: with 11 requests waiting at each replica 4 of 5 fresh and 3 of 5 late ones were admitted.

--- a/core/include/peridotward/core/admission/load_shedder.hpp
+++ b/core/include/peridotward/core/admission/load_shedder.hpp
@@ -76,6 +76,9 @@
     /// services, which the share follows, and in a service's deviation from it.
     static constexpr milliseconds mean_time_constant{80};
     static constexpr milliseconds deviation_time_constant{600};
+    /// Time constants of the rate of requests and of its peak.
+    static constexpr milliseconds demand_time_constant{100};
+    static constexpr milliseconds peak_time_constant{1000};
     /// Utilization of a replica with a long queue.
     static constexpr double max_utilization = 2;
     /// Share from which all requests are admitted: smaller changes are noise.
@@ -89,6 +92,7 @@
           deviations_(services, decaying_mean{deviation_time_constant}),
           own_mean_{mean_time_constant},
           mean_of_all_{mean_time_constant},
+          demand_{demand_time_constant},
           spare_{services}
     {}
 
@@ -148,6 +152,10 @@
     /// \returns The mean utilization of all services.
     [[nodiscard]] double mean_utilization(time_point now);
     void adjust(time_point now);
+    void record_request(time_point now);
+    /// \returns Whether the rate of requests has fallen, so that the queues
+    /// get shorter without refusals.
+    [[nodiscard]] bool burst_has_ended(time_point now);
     /// \brief Estimates the utilization that the share follows.
     void estimate_utilization(time_point now);
     /// \returns The largest of `deviations` but for those of `spare_` services.
@@ -159,7 +167,10 @@
     std::vector<decaying_mean> deviations_;
     decaying_mean own_mean_;
     decaying_mean mean_of_all_; ///< Of the reports to any instance.
-    std::size_t spare_;         ///< Of the request with the fewest so far.
+    decaying_mean demand_;      ///< Of the requests; only the weight is used.
+    double peak_demand_ = 0;
+    time_point peak_at_;
+    std::size_t spare_; ///< Of the request with the fewest so far.
     double share_ = 1;
     double utilization_ = 0;
     double mean_ = 0;
--- a/core/src/admission/load_shedder.cpp
+++ b/core/src/admission/load_shedder.cpp
@@ -25,6 +25,15 @@
 /// Limits of one adjustment.
 constexpr double max_decrease = 0.4;
 constexpr double max_increase = 1.5;
+/// Utilization that calls for a smaller share at once; a lower one does if it
+/// doesn't fall by itself, as it does after a short burst.
+constexpr double urgent_utilization = 1.9;
+/// Decrease of the utilization in one interval that is no noise.
+constexpr double certain_decrease = 0.1;
+/// Part of its recent peak below which the rate of requests shows that a burst
+/// has ended, and requests in the peak from which it does.
+constexpr double ended_demand = 0.6;
+constexpr double min_peak_demand = 5;
 /// Growth of the share in one interval without any report.
 constexpr double unknown_increase = 1.15;
 /// Standard deviation of the utilization in a single report.
@@ -157,12 +166,17 @@
         std::max(own_mean_.weight(now), mean_of_all_.weight(now)) >=
         min_reports;
     if (std::exchange(reported_, false) && known) {
+        const double before = utilization_;
         estimate_utilization(now);
         const double exponent =
             adjust_exponent + queue_exponent * std::max(0.0, utilization_ - 1);
         const double factor =
             std::pow(target_utilization / utilization_, exponent);
-        share_ *= std::clamp(factor, max_decrease, max_increase);
+        const bool stays = before > target_utilization &&
+                           utilization_ > before - certain_decrease;
+        if (factor >= 1 || (stays && (sheds() || !burst_has_ended(now))) ||
+            utilization_ >= urgent_utilization)
+            share_ *= std::clamp(factor, max_decrease, max_increase);
     }
     const std::chrono::duration<double> unknown =
         known ? now - std::max(adjusted_at_, informed_at_) : now - adjusted_at_;
@@ -173,10 +187,27 @@
     adjusted_at_ = now;
 }
 
+void load_shedder::record_request(time_point now)
+{
+    demand_.add(0, 1, now);
+    const std::chrono::duration<double> age = now - peak_at_;
+    const std::chrono::duration<double> time_constant = peak_time_constant;
+    peak_demand_ = std::max(
+        demand_.weight(now), peak_demand_ * std::exp(-age / time_constant));
+    peak_at_ = now;
+}
+
+bool load_shedder::burst_has_ended(time_point now)
+{
+    return peak_demand_ >= min_peak_demand &&
+           demand_.weight(now) < ended_demand * peak_demand_;
+}
+
 bool load_shedder::try_admit(
     request_freshness freshness, std::size_t spare, time_point now)
 {
     spare_ = std::min(spare_, spare);
+    record_request(now);
     adjust(now);
     if (!sheds())
         return true;
--- a/core/tests/load_shedder_test.cpp
+++ b/core/tests/load_shedder_test.cpp
@@ -73,6 +73,23 @@
     CHECK(shedder.share() >= load_shedder::min_share);
 }
 
+// The callers that waited for an outage to end have all come at once.
+TEST_CASE(
+    "load shedder: a queue that gets shorter by itself causes no refusal",
+    "[load shedder]")
+{
+    load_shedder shedder{3};
+    auto now = report(shedder, 0, 3, idle, start, milliseconds{300});
+    CHECK(admit(shedder, request_freshness::late, 40, now) == 40);
+    for (const std::uint32_t waiting : {11U, 8U, 5U, 2U, 0U}) {
+        const reported_load load{slots, waiting, slots};
+        now = report(shedder, 0, 3, load, now, milliseconds{100});
+        INFO("waiting at each replica: " << waiting);
+        CHECK(admit(shedder, request_freshness::fresh, 5, now) == 5);
+        CHECK(admit(shedder, request_freshness::late, 5, now) == 5);
+    }
+}
+
 TEST_CASE(
     "load shedder: all requests are admitted again 1 s after an overload",
     "[load shedder]")
