Revert "platform: an instance that can't read the store asks the others"

Instance 1, cut off from the replicas, lost the store too (store_lost at 18:02:04) and asked instance 0, whose store names the addresses of the first links, which aren't cut. So it reached one replica, heard from it, and refused what it couldn't send to the others in place of relaying it.

--- a/core/include/peridotward/core/discovery/store_reader_plan.hpp
+++ b/core/include/peridotward/core/discovery/store_reader_plan.hpp
@@ -29,8 +29,6 @@
     static constexpr std::size_t max_instances_per_reader = 128;
 
     bool reads_store = true;
-    /// Whether all instances read the store.
-    bool all_read_store = true;
     /// Ids of the readers, in the order in which this instance queries them:
     /// those of its own failure domain first.
     std::vector<std::string> readers;
--- a/core/src/discovery/store_reader_plan.cpp
+++ b/core/src/discovery/store_reader_plan.cpp
@@ -74,7 +74,6 @@
     auto ranked = rank_candidates(members);
     if (ranked.size() <= store_reader_plan::small_fleet_size)
         return plan;
-    plan.all_read_store = false;
     ranked = spread_over_domains(ranked);
     std::set<std::string_view> domains;
     for (const auto& each : ranked)
