core, gateway, platform: client accounts and their keys

Cause: where the configuration has client accounts, callers' keys were passed on to upstreams and withdrawn keys were accepted; no route needed a key.

Change: the configuration holds the accounts and digests of their keys. A request on a route that isn't open needs one field with a known key, or gets 401; upstreams get the account's name instead of the key, on all attempts. A relayed request carries the key to the other instance, which declines it if its accounts are older. An account's priority goes before the route's.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -124,11 +124,14 @@
     /// \param route A route of `config`.
     /// \param services The service of each part.
     /// \param times Deadlines of the request.
+    /// \param account The client account that sent it, one of `config`, or
+    /// null.
     forwarded_request(
         forward_config_ptr config,
         const forward_route& route,
         std::vector<forward_service_index> services,
-        forward_times times);
+        forward_times times,
+        const client_account* account = nullptr);
 
     /// \brief Makes the request a trial: one part is sent to one replica,
     /// without a hedge, and the others follow when that replica has survived
@@ -184,6 +187,18 @@
     {
         return config_;
     }
+    /// \returns The client account that sent the request, or null.
+    [[nodiscard]] const client_account* account() const noexcept
+    {
+        return account_;
+    }
+    /// \returns The priority of the account, if it has one, or else of the
+    /// route.
+    [[nodiscard]] std::int32_t priority() const noexcept
+    {
+        return account_ != nullptr && account_->priority ? *account_->priority
+                                                         : route_->priority;
+    }
     /// \returns The service of a part.
     [[nodiscard]] const forward_service& service(std::uint32_t part) const
     {
@@ -333,6 +348,7 @@
 
     forward_config_ptr config_;
     const forward_route* route_;
+    const client_account* account_;
     forward_times times_;
     std::vector<part_state> parts_;
     std::vector<attempt_state> attempts_;
--- a/core/include/peridotward/core/routing/forward_config.hpp
+++ b/core/include/peridotward/core/routing/forward_config.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/base/names.hpp>
 #include <peridotward/base/time.hpp>
+#include <peridotward/core/accounts/account_directory.hpp>
 
 #include <array>
 #include <cstddef>
@@ -52,6 +53,8 @@
     duration target_latency{}; ///< An answer within it has its full value.
     std::int32_t priority = 0; ///< 0 is the most urgent.
     std::uint32_t max_attempts = 1; ///< Upstreams tried for each part.
+    /// Whether requests need no key of a client account.
+    bool open_to_all = false;
 
     /// Services among which requests are divided; empty for a search over
     /// shards.
@@ -96,6 +99,7 @@
     std::vector<forward_route> routes;
     std::vector<forward_service> services;
     caller_limits limits;
+    account_directory accounts; ///< Empty: requests need no key.
 
     /// \brief Builds the index for `find`. Must be called once, after `routes`
     /// is complete.
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -22,8 +22,12 @@
     forward_config_ptr config,
     const forward_route& route,
     std::vector<forward_service_index> services,
-    forward_times times)
-    : config_{std::move(config)}, route_{&route}, times_{times}
+    forward_times times,
+    const client_account* account)
+    : config_{std::move(config)},
+      route_{&route},
+      account_{account},
+      times_{times}
 {
     full_value_passed_ = times.full_value_until <= times.arrived;
     parts_.resize(services.size());
--- a/core/src/routing/forward_config.cpp
+++ b/core/src/routing/forward_config.cpp
@@ -59,6 +59,10 @@
         add(services[shard].name);
     add(std::to_string(route.top_records));
     add(std::to_string(route.min_shard_share));
+    if (!accounts.empty()) {
+        add(route.open_to_all ? "open" : "keys");
+        add(std::to_string(accounts.digest()));
+    }
     return hash_of(text);
 }
 
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/accounts/authentication.hpp>
 #include <peridotward/core/admission/load_report_exchange.hpp>
 #include <peridotward/core/admission/retry_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
@@ -157,6 +158,13 @@
         http_session& session,
         std::string_view reason,
         std::string_view relayed);
+    /// \returns The fields of the request that hold the key of an account; none
+    /// if the configuration has no accounts.
+    [[nodiscard]] request_credentials
+    credentials_of(const request_message& request) const;
+    /// \brief Refuses a request without a key that its route accepts.
+    void refuse_unauthenticated(
+        http_session& session, authentication_outcome outcome);
     /// \returns Whether an instance relayed the request that has a later
     /// configuration with another route for it than `route`, which may be null.
     [[nodiscard]] bool
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -13,6 +13,9 @@
     std::string expected_id; ///< Upstream to which a request is sent.
     std::string upstream_id; ///< Upstream that answers.
     std::string signature;   ///< Upstream's signature of its answer.
+    std::string account;     ///< Client account of a request, for upstreams.
+    std::string credentials; ///< Field with the key of a client account.
+    std::string key_scheme;  ///< Word before the key in that field.
     std::string load;        ///< `running,waiting,slots` of an upstream.
     std::string not_run;     ///< The upstream did not run the request.
     std::string cold_left;   ///< Remaining milliseconds of a cold start.
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -35,7 +35,10 @@
       fingerprints_{fingerprints},
       crash_marks_{
           owner.crash_history_.marks_of(fingerprints, owner.loop_->now())},
-      head_{forwarded_request_head(session.request(), *owner.names_)},
+      head_{forwarded_request_head(
+          session.request(),
+          *owner.names_,
+          account_for_upstreams(*request_.config(), request_.account()))},
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
@@ -121,7 +124,7 @@
     request.owner = this;
     request.attempt = to_send.attempt;
     request.urgency = {
-        request_.route().priority,
+        request_.priority(),
         request_.times().full_value_until -
             answer_latency_factor * profile_->median()};
     request.request_id = request_id_;
@@ -314,7 +317,7 @@
     if (end == forward_end::not_run) {
         const auto now = owner_->loop_->now();
         retry_after = owner_->retry_schedule_of(request_).reserve(
-            request_.route().priority,
+            request_.priority(),
             request_.earliest_retry(owner_->context(), now),
             now);
     }
--- a/gateway/src/forwarded_fields.cpp
+++ b/gateway/src/forwarded_fields.cpp
@@ -54,8 +54,18 @@
     to += "\r\n";
 }
 
-std::string
-forwarded_request_head(const request_message& from, const header_names& names)
+forwarded_account account_for_upstreams(
+    const forward_config& config, const client_account* account) noexcept
+{
+    return {
+        !config.accounts.empty(),
+        account == nullptr ? std::string_view{} : account->name};
+}
+
+std::string forwarded_request_head(
+    const request_message& from,
+    const header_names& names,
+    const forwarded_account& account)
 {
     std::string head = from.method + " " + from.target + " HTTP/1.1\r\n";
     const auto connection = from.fields.find("Connection").value_or("");
@@ -65,10 +75,15 @@
             equals_ignoring_case(field.name, names.time_left) ||
             equals_ignoring_case(field.name, names.expected_id) ||
             equals_ignoring_case(field.name, names.relayed) ||
-            equals_ignoring_case(field.name, names.relayed_config);
+            equals_ignoring_case(field.name, names.relayed_config) ||
+            (account.used &&
+             (equals_ignoring_case(field.name, names.account) ||
+              equals_ignoring_case(field.name, names.credentials)));
         if (!replaced && !is_hop_by_hop(field.name, connection))
             add_field(head, field.name, field.value);
     }
+    if (!account.name.empty())
+        add_field(head, names.account, account.name);
     return head;
 }
 
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -274,9 +274,15 @@
         refuse(session, 404, "no route has this host and path");
         return;
     }
+    const auto credentials = credentials_of(request);
+    const auto authenticated = authenticate(*config_, *route, credentials);
+    if (authenticated.outcome != authentication_outcome::accepted) {
+        refuse_unauthenticated(session, authenticated.outcome);
+        return;
+    }
     const auto fingerprints = fingerprints_of(
         {caller_of(session),
-         request.fields.find("Authorization").value_or(""),
+         request.fields.find(names_->credentials).value_or(""),
          request.method,
          *host,
          request.target,
@@ -311,13 +317,45 @@
         new forward_operation{
             *this,
             session,
-            forwarded_request{config_, *route, std::move(services), times},
+            forwarded_request{
+                config_,
+                *route,
+                std::move(services),
+                times,
+                authenticated.account},
             std::string{*id},
             fingerprints}};
     session.state = operation;
     operation->begin();
 }
 
+request_credentials
+forwarder::credentials_of(const request_message& request) const
+{
+    if (config_->accounts.empty())
+        return {};
+    return {
+        field_count(request, names_->credentials),
+        request.fields.find(names_->credentials).value_or(""),
+        names_->key_scheme};
+}
+
+void forwarder::refuse_unauthenticated(
+    http_session& session, authentication_outcome outcome)
+{
+    stats_->count(
+        "unauthenticated_requests_total{reason=\"" +
+        std::string{name_of(outcome)} + "\"}");
+    refuse(
+        session,
+        401,
+        outcome == authentication_outcome::unknown_key
+            ? "no account has this key"
+            : "the request needs one field with the key of an account",
+        {},
+        "WWW-Authenticate: " + names_->key_scheme + "\r\n");
+}
+
 void forwarder::on_caller_disconnect(http_session& session)
 {
     const auto operation = std::exchange(session.state, nullptr);
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -33,7 +33,11 @@
           std::to_string(owner.config_->digest_of(route))},
       times_{times},
       request_id_{std::move(request_id)},
-      head_{forwarded_request_head(session.request(), *owner.names_)},
+      head_{forwarded_request_head(
+          session.request(),
+          *owner.names_,
+          account_for_upstreams(*owner.config_, nullptr))},
+      credentials_{owner.credentials_of(session.request()).value},
       caller_{session.caller_host()},
       body_{session.request().body},
       has_length_{session.request().has_length},
@@ -118,6 +122,9 @@
     auto bytes = head_;
     add_field(
         bytes, owner_->names_->time_left, std::to_string(remaining.count()));
+    // The other instance authenticates the caller itself.
+    if (!credentials_.empty())
+        add_field(bytes, owner_->names_->credentials, credentials_);
     add_field(bytes, owner_->names_->relayed, caller_);
     add_field(bytes, owner_->names_->relayed_config, route_version_);
     add_field(bytes, "Connection", "close");
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -55,6 +55,7 @@
     forward_times times_;
     std::string request_id_;
     std::string head_;
+    std::string credentials_; ///< Empty if the configuration has no accounts.
     std::string caller_;
     std::string body_;
     bool has_length_;
