core, gateway: strong instances get most of the fleet's retry budget

Change: instances share the budget by a weight that depends on their capacities only, so that the sum holds whichever of them are listed to callers. Equal instances share equally as before.

--- a/core/include/peridotward/core/budgets/retry_budget_window.hpp
+++ b/core/include/peridotward/core/budgets/retry_budget_window.hpp
@@ -29,8 +29,8 @@
 /// service.
 ///
 /// \remarks Keeps the sum over all instances within `retry_bounds` without
-/// communication: each instance may spend the ratio of its own requests plus an
-/// equal share of the burst allowance. Extra attempts are counted over a span
+/// communication: each instance may spend the ratio of its own requests plus
+/// its share of the burst allowance. Extra attempts are counted over a span
 /// slightly longer than the window and requests over a slightly shorter one, so
 /// the limit holds for every position of the window.
 class retry_budget_window
@@ -43,11 +43,11 @@
     /// \brief Counts a caller's request to the service.
     void on_request(const retry_bounds& bounds, time_point now) noexcept;
 
-    /// \param instances Instances that share the burst allowance.
+    /// \param share Share of the burst allowance, in [0, 1].
     /// \returns Whether an extra attempt may be sent; if so it is counted.
     [[nodiscard]] bool try_spend(
         const retry_bounds& bounds,
-        std::uint32_t instances,
+        double share,
         extra_attempt_kind kind,
         time_point now) noexcept;
 
@@ -57,9 +57,7 @@
 
     /// \returns The number of retries that may be sent now.
     [[nodiscard]] double remaining(
-        const retry_bounds& bounds,
-        std::uint32_t instances,
-        time_point now) noexcept;
+        const retry_bounds& bounds, double share, time_point now) noexcept;
 
     struct totals
     {
@@ -67,10 +65,8 @@
         double spent = 0;   ///< Extra attempts sent in the window.
     };
 
-    [[nodiscard]] totals count(
-        const retry_bounds& bounds,
-        std::uint32_t instances,
-        time_point now) noexcept;
+    [[nodiscard]] totals
+    count(const retry_bounds& bounds, double share, time_point now) noexcept;
 
 private:
     struct slice
--- a/core/include/peridotward/core/budgets/retry_budgets.hpp
+++ b/core/include/peridotward/core/budgets/retry_budgets.hpp
@@ -28,15 +28,20 @@
     /// previous process on the same machine may have spent its share of it.
     void started(time_point at) noexcept { burst_from_ = at + bounds_.window; }
 
-    /// \brief Raises the number of instances that share the burst allowance.
+    /// \brief Sets this instance's share of the burst allowance: the part
+    /// `own` of `total`, which is the sum over all instances.
     ///
-    /// \remarks The number never decreases: an instance that is no longer
+    /// \remarks The total never decreases: an instance that is no longer
     /// visible may be cut off by a partition and continue to spend.
-    void instances(std::uint32_t count) noexcept
+    void weight(std::uint32_t own, std::uint32_t total) noexcept
     {
-        instances_ = std::max(instances_, count);
+        total_weight_ = std::max({total_weight_, total, 1U});
+        own_weight_ = own;
     }
 
+    /// \brief Shares the burst allowance equally among `count` instances.
+    void instances(std::uint32_t count) noexcept { weight(1, count); }
+
     /// \brief Replaces the limits for the attempts sent from now on.
     void bounds(retry_bounds new_bounds) noexcept { bounds_ = new_bounds; }
 
@@ -63,8 +68,7 @@
     [[nodiscard]] bool try_spend(
         const std::string& service, extra_attempt_kind kind, time_point now)
     {
-        return windows_[service].try_spend(
-            bounds_at(now), instances_, kind, now);
+        return windows_[service].try_spend(bounds_at(now), share(), kind, now);
     }
     void refund(const std::string& service, time_point spent_at)
     {
@@ -75,18 +79,18 @@
     void visit_totals(time_point now, Visitor&& visit)
     {
         for (auto& [service, window] : windows_)
-            visit(service, window.count(bounds_at(now), instances_, now));
+            visit(service, window.count(bounds_at(now), share(), now));
     }
 
     [[nodiscard]] double remaining(const std::string& service, time_point now)
     {
-        return windows_[service].remaining(bounds_at(now), instances_, now);
+        return windows_[service].remaining(bounds_at(now), share(), now);
     }
 
-    /// \returns The number of instances that share the burst allowance.
-    [[nodiscard]] std::uint32_t instances() const noexcept
+    /// \returns This instance's share of the burst allowance, in [0, 1].
+    [[nodiscard]] double share() const noexcept
     {
-        return instances_;
+        return static_cast<double>(own_weight_) / total_weight_;
     }
 
 private:
@@ -99,7 +103,8 @@
     }
 
     retry_bounds bounds_;
-    std::uint32_t instances_ = 1;
+    std::uint32_t own_weight_ = 1;
+    std::uint32_t total_weight_ = 1;
     time_point burst_from_;
     std::unordered_map<std::string, retry_budget_window> windows_;
     std::unordered_map<std::string, double> refusal_shares_;
--- a/core/include/peridotward/core/placement/replica_selector.hpp
+++ b/core/include/peridotward/core/placement/replica_selector.hpp
@@ -23,6 +23,9 @@
     std::uint32_t senders = 1;
     bool sends = true; ///< Whether this instance is one of the senders.
     std::uint64_t revision = 0; ///< Differs when `others` differ.
+    /// `sender_weight` of this instance, and the sum of all instances'.
+    std::uint32_t weight = 1;
+    std::uint32_t total_weight = 1;
 };
 
 /// \brief Replicas that get no request now, by the reason.
--- a/core/src/budgets/retry_budget_window.cpp
+++ b/core/src/budgets/retry_budget_window.cpp
@@ -30,9 +30,7 @@
 }
 
 retry_budget_window::totals retry_budget_window::count(
-    const retry_bounds& bounds,
-    std::uint32_t instances,
-    time_point now) noexcept
+    const retry_bounds& bounds, double share, time_point now) noexcept
 {
     advance(bounds, now);
     double requests = 0;
@@ -44,27 +42,25 @@
         if (age < slices)
             requests += slice_counts.requests;
     }
-    const double own_allowance =
-        bounds.burst_allowance / std::max<std::uint32_t>(instances, 1);
-    return {bounds.ratio * requests + own_allowance, extra_attempts};
+    return {
+        bounds.ratio * requests + share * bounds.burst_allowance,
+        extra_attempts};
 }
 
 double retry_budget_window::remaining(
-    const retry_bounds& bounds,
-    std::uint32_t instances,
-    time_point now) noexcept
+    const retry_bounds& bounds, double share, time_point now) noexcept
 {
-    const auto sums = count(bounds, instances, now);
+    const auto sums = count(bounds, share, now);
     return sums.allowed - sums.spent;
 }
 
 bool retry_budget_window::try_spend(
     const retry_bounds& bounds,
-    std::uint32_t instances,
+    double share,
     extra_attempt_kind kind,
     time_point now) noexcept
 {
-    const auto sums = count(bounds, instances, now);
+    const auto sums = count(bounds, share, now);
     const double reserved =
         kind == extra_attempt_kind::hedge ? retry_reserve * sums.allowed : 0;
     if (sums.allowed - reserved - sums.spent < 1)
--- a/core/tests/forward_budgets_test.cpp
+++ b/core/tests/forward_budgets_test.cpp
@@ -1,6 +1,7 @@
 #include <peridotward/base/random.hpp>
 #include <peridotward/core/budgets/cold_limit.hpp>
 #include <peridotward/core/budgets/retry_budgets.hpp>
+#include <peridotward/core/budgets/sender_weight.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -161,6 +162,32 @@
     CHECK_FALSE(budgets.try_spend("s", extra_attempt_kind::retry, start));
 }
 
+TEST_CASE(
+    "retry budgets: strong instances, which have the callers, get most of the "
+    "burst allowance",
+    "[budgets]")
+{
+    // 6 of 68 instances are strong, as where most requests enter through few.
+    constexpr std::uint32_t strong = 6;
+    constexpr std::uint32_t weak = 62;
+    constexpr std::uint32_t total = strong * sender_weight::strong + weak;
+    CHECK(sender_weight::of(500, 500) == sender_weight::strong);
+    CHECK(sender_weight::of(250, 500) == sender_weight::strong);
+    CHECK(sender_weight::of(120, 500) == 1);
+    const auto burst_of = [&](std::uint32_t weight) {
+        retry_budgets budgets{{0, 176, seconds{10}}};
+        budgets.started(start - seconds{60});
+        budgets.weight(weight, total);
+        int spent = 0;
+        while (budgets.try_spend("s", extra_attempt_kind::retry, start))
+            ++spent;
+        return spent;
+    };
+    const auto of_strong = burst_of(sender_weight::strong);
+    CHECK(of_strong >= 5 * 176 / static_cast<int>(strong + weak));
+    CHECK(strong * of_strong + weak * burst_of(1) <= 176);
+}
+
 TEST_CASE(
     "cold limit: the shares of all instances add up to the limit", "[budgets]")
 {
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -157,8 +157,7 @@
     fleet.self = fleet_.self;
     fleet.revision = fleet_.revision + 1;
     fleet_ = std::move(fleet);
-    retry_budgets_.instances(
-        static_cast<std::uint32_t>(fleet_.others.size()) + 1);
+    retry_budgets_.weight(fleet_.weight, fleet_.total_weight);
 }
 
 void forwarder::log_rate_limit(replica_number number, std::string_view source)
@@ -380,7 +379,8 @@
                 {{"service", service},
                  {"spent", static_cast<std::uint64_t>(totals.spent)},
                  {"allowed", static_cast<std::uint64_t>(totals.allowed)},
-                 {"instances", retry_budgets_.instances()}});
+                 {"share_permille",
+                  static_cast<std::uint64_t>(retry_budgets_.share() * 1000)}});
         });
 }
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -3,6 +3,7 @@
 #include "instance_directory.hpp"
 
 #include <peridotward/core/admission/load_meter.hpp>
+#include <peridotward/core/budgets/sender_weight.hpp>
 #include <peridotward/gateway/gateway.hpp>
 
 #include <algorithm>
@@ -57,6 +58,8 @@
     void check();
     void check_shutdown(time_point now);
     void on_members_changed();
+    /// \brief Sets the weights by which instances share budgets.
+    void set_weights(fleet_view& fleet);
 
     reactor* loop;
     event_log* log;
@@ -76,6 +79,7 @@
     http_listener metrics_listener;
     load_meter meter;
     reactor_timer timer;
+    std::uint32_t max_capacity = 0; ///< The greatest seen in the fleet.
     bool has_upstreams = false;
     std::optional<time_point> stop_time;
     std::optional<time_point> idle_close_time;
@@ -97,9 +101,25 @@
         listed.begin(), listed.end(), [&](const instance_candidate& instance) {
             return instance.callers == settings.listen.callers;
         });
+    set_weights(fleet);
     forwarding.set_fleet(std::move(fleet));
 }
 
+void gateway::implementation::set_weights(fleet_view& fleet)
+{
+    std::vector<std::uint32_t> capacities{settings.capacity};
+    for (const auto& [id, member] : peers.members().members()) {
+        if (member.latest_update.state != member_state::dead)
+            capacities.push_back(member.latest_update.capacity);
+    }
+    max_capacity = std::max(
+        max_capacity, *std::max_element(capacities.begin(), capacities.end()));
+    fleet.weight = sender_weight::of(settings.capacity, max_capacity);
+    fleet.total_weight = 0;
+    for (const auto capacity : capacities)
+        fleet.total_weight += sender_weight::of(capacity, max_capacity);
+}
+
 void gateway::implementation::check()
 {
     const auto now = loop->now();
