core: a retry that can't be sent yet is tried again while it can be in time

Cause: a part whose retry found no replica or no budget was given up at once, and with it the search: 502 after some milliseconds of a deadline of 1 s, while a replica that fails half of its requests answers the other half.

Change: the part waits 15 ms and is tried again, also at replicas that failed once, within the attempts that its route allows, as long as its answer could still be in time. Requests of which nothing has run are refused at once as before.

The first test failed before. A route of one attempt goes on answering 502 at once.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -114,6 +114,10 @@
     /// for at most the target latency divided by this; after that it ends with
     /// a partial answer as soon as it has enough parts.
     static constexpr int late_wait_divisor = 2;
+    /// Pause before a part whose retry finds no replica or no budget is tried
+    /// again; some answers of a replica, and of the order of the time in which
+    /// a request adds to the budget.
+    static constexpr milliseconds retry_pause{15};
     /// Refusals of one part after which the part is given up.
     static constexpr std::uint32_t max_refusals = 5;
     /// Replicas that ended their connection while they ran one part, after
@@ -286,6 +290,8 @@
         std::uint8_t refusals = 0; ///< Attempts that did not run.
         std::uint8_t interruptions = 0;
         time_point hedge_at = time_point::max();
+        /// When to try a retry again that could not be sent.
+        time_point retry_at = time_point::max();
         std::vector<replica_number> tried;
         /// Subset of `tried` that refused and can be tried again.
         std::vector<replica_number> refused;
@@ -320,6 +326,14 @@
         const latency_profile& profile,
         time_point now,
         forward_actions& out);
+    /// \brief Plans another try of a retry that found no replica or no budget,
+    /// if its answer could still be in time.
+    /// \returns Whether it is planned.
+    bool defer_retry(
+        std::uint32_t part,
+        const forward_context& context,
+        const latency_profile& profile,
+        time_point now);
     void hedge(
         std::uint32_t part,
         const forward_context& context,
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -135,6 +135,7 @@
         return;
     state.given_up = true;
     state.hedge_at = time_point::max();
+    state.retry_at = time_point::max();
     ++given_up_;
 }
 
@@ -293,10 +294,33 @@
                tried.health.reported_free_slot(tried.published.slots, now);
     });
     state.refused.clear();
-    if (!send(part, context, profile, now, out))
+    if (!send(part, context, profile, now, out) &&
+        !defer_retry(part, context, profile, now))
         give_up(part);
 }
 
+bool forwarded_request::defer_retry(
+    std::uint32_t part,
+    const forward_context& context,
+    const latency_profile& profile,
+    time_point now)
+{
+    auto& state = parts_[part];
+    const bool in_time =
+        now + retry_pause + profile.median() < times_.full_value_until;
+    // A request of which nothing has run is refused at once instead, so that
+    // its caller can go elsewhere.
+    if (!in_time || trial_ || !may_have_run_ ||
+        route_->safety != retry_safety::idempotent)
+        return false;
+    // Replicas that failed once may answer the next time.
+    std::erase_if(state.tried, [&](replica_number number) {
+        return !context.catalog->at(number).health.unreachable(now);
+    });
+    state.retry_at = now + retry_pause;
+    return true;
+}
+
 void forwarded_request::hedge(
     std::uint32_t part,
     const forward_context& context,
@@ -385,6 +409,7 @@
     }
     part.answered = true;
     part.hedge_at = time_point::max();
+    part.retry_at = time_point::max();
     ++answered_;
     if (part.given_up) {
         part.given_up = false;
@@ -446,9 +471,15 @@
     if (ended_)
         return;
     for (std::uint32_t part = 0; part < parts_.size(); ++part) {
-        if (parts_[part].hedge_at <= now)
+        auto& state = parts_[part];
+        if (state.hedge_at <= now)
             hedge(part, context, profile, now, out);
+        if (state.retry_at <= now) {
+            state.retry_at = time_point::max();
+            retry(part, context, profile, now, out);
+        }
     }
+    finish_if_due(context, now, out);
 }
 
 time_point forwarded_request::next_wakeup() const noexcept
@@ -460,7 +491,7 @@
         due = std::min(due, late_deadline());
     for (const auto& part : parts_) {
         if (!part.answered && !part.given_up)
-            due = std::min(due, part.hedge_at);
+            due = std::min({due, part.hedge_at, part.retry_at});
     }
     return due;
 }
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -684,3 +684,55 @@
         CHECK(fixture.out.end == forward_end::failed);
     }
 }
+
+TEST_CASE(
+    "forwarding: a part whose replicas have all failed is tried again while it "
+    "can be in time",
+    "[forwarding]")
+{
+    // Guards against a 502 after a few milliseconds when one replica of a shard
+    // fails a part of its requests and the others are down.
+    forward_fixture fixture{3, 1, idempotent(2)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    fixture.out.clear();
+    fixture.result(
+        request, 0, forward_outcome::failed, start + milliseconds{2});
+    CHECK_FALSE(fixture.out.end);
+    CHECK(fixture.out.sends.empty());
+    const auto due = request.next_wakeup();
+    CHECK(due <= start + milliseconds{2} + forwarded_request::retry_pause);
+    request.on_timeout(fixture.context(), fixture.profile, due, fixture.out);
+    REQUIRE(fixture.out.sends.size() == 1);
+    const auto again = fixture.out.sends[0].attempt;
+    CHECK(fixture.out.sends[0].part == 0);
+    for (const auto attempt : {1U, 2U, again})
+        fixture.result(
+            request, attempt, forward_outcome::answered, due + milliseconds{5});
+    CHECK(fixture.out.end == forward_end::complete);
+}
+
+TEST_CASE(
+    "forwarding: a part that failed as often as its route allows ends the "
+    "request at once",
+    "[forwarding]")
+{
+    forward_fixture fixture{3, 1, idempotent(1)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    fixture.result(
+        request, 0, forward_outcome::failed, start + milliseconds{2});
+    CHECK(fixture.out.end == forward_end::failed);
+}
+
+TEST_CASE(
+    "forwarding: a retry that can't be in time any more ends the request",
+    "[forwarding]")
+{
+    forward_fixture fixture{3, 1, idempotent(2)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    fixture.result(
+        request, 0, forward_outcome::failed, start + milliseconds{85});
+    CHECK(fixture.out.end == forward_end::failed);
+}
