--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -349,6 +349,9 @@
         {{"request", request_id_},
          {"fingerprint", to_text(fingerprints_.exact)},
          {"route", request_.route().name},
+         {"account",
+          request_.account() == nullptr ? std::string_view{}
+                                        : request_.account()->name},
          {"outcome", name_of(end)},
          {"took", elapsed},
          {"parts", request_.part_count()},
