--- a/core/tests/accounts_test.cpp
+++ b/core/tests/accounts_test.cpp
@@ -3,7 +3,6 @@
 #include <peridotward/core/accounts/authentication.hpp>
 
 #include <catch2/catch.hpp>
-
 #include <rapidcheck.h>
 
 using namespace peridotward;
@@ -74,8 +73,7 @@
           std::string_view{oversized}}) {
         INFO(value);
         CHECK(
-            try_key(config, value).outcome !=
-            authentication_outcome::accepted);
+            try_key(config, value).outcome != authentication_outcome::accepted);
     }
     const auto& route = config.routes[0];
     CHECK(
@@ -128,7 +126,6 @@
     rc::check("only the right keys are accepted", [&](const std::string& text) {
         const auto value = "Token " + text;
         const auto result = try_key(config, value);
-        RC_ASSERT(
-            result.account == nullptr || text.find("key-") != text.npos);
+        RC_ASSERT(result.account == nullptr || text.find("key-") != text.npos);
     });
 }
--- a/gateway/tests/forwarded_fields_test.cpp
+++ b/gateway/tests/forwarded_fields_test.cpp
@@ -25,15 +25,14 @@
 {
     request_message request;
     request_reader reader{request, 1000, 1000};
-    std::string input =
-        "GET /x/1 HTTP/1.1\r\n"
-        "Host: a.example\r\n"
-        "X-Id: r1\r\n"
-        "aUTHORIZATION: Token key-1\r\n"
-        "x-account: other\r\n"
-        "X-Account: another\r\n"
-        "Authorization: Token key-2\r\n"
-        "\r\n";
+    std::string input = "GET /x/1 HTTP/1.1\r\n"
+                        "Host: a.example\r\n"
+                        "X-Id: r1\r\n"
+                        "aUTHORIZATION: Token key-1\r\n"
+                        "x-account: other\r\n"
+                        "X-Account: another\r\n"
+                        "Authorization: Token key-2\r\n"
+                        "\r\n";
     REQUIRE(reader.consume(input) == read_state::complete);
     return request;
 }
