core, gateway: a revoked key ends the requests that wait to be sent

Cause: a request kept the account that it was admitted with until its end, so that one that waited for a connection to an upstream was sent although the configuration in force had revoked its key. Change: when a newer configuration comes into force, the forwarder lets each open request authenticate again. A request of which no attempt was written, and a relayed one that isn't connected yet, ends with 401 if its key is unknown now; if another account holds the key, upstreams get that account's name.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -7,6 +7,7 @@
 #include <peridotward/core/gather/request_deadlines.hpp>
 #include <peridotward/core/placement/replica_selector.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -245,6 +246,15 @@
     /// overloaded.
     [[nodiscard]] bool shed() const noexcept { return shed_; }
 
+    /// \returns Whether bytes of an attempt have left this instance.
+    [[nodiscard]] bool sent() const noexcept
+    {
+        return std::any_of(
+            attempts_.begin(), attempts_.end(), [](const auto& each) {
+                return each.written;
+            });
+    }
+
     /// \returns Whether a replica may have run any part.
     [[nodiscard]] bool may_have_run() const noexcept { return may_have_run_; }
 
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -162,6 +162,10 @@
     /// if the configuration has no accounts.
     [[nodiscard]] request_credentials
     credentials_of(const request_message& request) const;
+    /// \returns Whether the configuration in force still accepts a request
+    /// that was admitted to `route` of an earlier one.
+    [[nodiscard]] authentication authenticate_again(
+        const http_session& session, const forward_route& route) const;
     /// \brief Refuses a request without a key that its route accepts.
     void refuse_unauthenticated(
         http_session& session, authentication_outcome outcome);
@@ -215,7 +219,7 @@
     bool contact_lost_ = false; ///< As logged.
     bool replaced_ = false;
     time_point next_probe_;
-    /// The requests that this instance forwards to upstreams.
+    /// The requests that this instance forwards to upstreams or relays.
     boost::intrusive::
         list<request_state, boost::intrusive::constant_time_size<false>>
             operations_;
--- a/gateway/include/peridotward/gateway/request_state.hpp
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -24,6 +24,9 @@
 
     /// \brief Called when this instance has lost contact with all upstreams.
     virtual void on_upstreams_lost() {}
+
+    /// \brief Called when a newer configuration is in force.
+    virtual void on_config_changed() {}
 };
 
 } // namespace peridotward
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -403,6 +403,31 @@
     owner_->relay(session, request_.route(), request_.times(), request_id_);
 }
 
+void forward_operation::on_config_changed()
+{
+    if (session_ == nullptr || request_.ended() || request_.sent())
+        return;
+    const auto renewed =
+        owner_->authenticate_again(*session_, request_.route());
+    if (renewed.outcome == authentication_outcome::accepted) {
+        // Another account may hold the key now, or none on an open route.
+        head_ = forwarded_request_head(
+            session_->request(),
+            *owner_->names_,
+            account_for_upstreams(*owner_->config_, renewed.account));
+        return;
+    }
+    const boost::intrusive_ptr<forward_operation> guard{this};
+    request_.abandon();
+    reactor::disarm(timer_);
+    withdraw_all();
+    --owner_->open_requests_;
+    owner_->stats_->count("revoked_requests_total");
+    log_end(forward_end::not_run);
+    owner_->refuse_unauthenticated(
+        *std::exchange(session_, nullptr), renewed.outcome);
+}
+
 void forward_operation::abandon()
 {
     const boost::intrusive_ptr<forward_operation> guard{this};
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -30,6 +30,10 @@
     /// only once.
     void on_upstreams_lost() override;
 
+    /// \brief Refuses the request if its key was revoked before an attempt was
+    /// sent.
+    void on_config_changed() override;
+
 private:
     struct failed_answer
     {
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -150,6 +150,11 @@
     config_ = std::move(config);
     load_shedders_.keep_only(*config_);
     turns_.reset();
+    std::vector<boost::intrusive_ptr<request_state>> open;
+    for (auto& each : operations_)
+        open.emplace_back(&each);
+    for (const auto& each : open)
+        each->on_config_changed();
 }
 
 void forwarder::set_fleet(fleet_view fleet)
@@ -339,6 +344,19 @@
         names_->key_scheme};
 }
 
+authentication forwarder::authenticate_again(
+    const http_session& session, const forward_route& route) const
+{
+    const auto& request = session.request();
+    const auto* const renewed = config_->find(
+        host_of(request.fields.find("Host").value_or("")),
+        path_of(request.target));
+    return authenticate(
+        *config_,
+        renewed != nullptr ? *renewed : route,
+        credentials_of(request));
+}
+
 void forwarder::refuse_unauthenticated(
     http_session& session, authentication_outcome outcome)
 {
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t read_bytes = 16384;
 constexpr keep_alive_times relay_keep_alive{seconds{1}, seconds{1}, 1};
 constexpr std::uint32_t service_unavailable = 503;
+constexpr std::uint32_t unauthorized = 401;
 
 } // namespace
 
@@ -27,7 +28,8 @@
     std::string request_id)
     : owner_{&owner},
       session_{&session},
-      route_{route.name},
+      config_{owner.config_},
+      route_{&route},
       route_version_{
           std::to_string(owner.config_->version) + " " +
           std::to_string(owner.config_->digest_of(route))},
@@ -45,6 +47,7 @@
       timer_{[this] { on_timeout(); }}
 {
     ++owner_->open_requests_;
+    owner_->operations_.push_back(*this);
 }
 
 relay_operation::~relay_operation()
@@ -256,7 +259,7 @@
         served ? event_severity::routine : event_severity::notable,
         "request_relayed",
         {{"request", request_id_},
-         {"route", route_},
+         {"route", route_->name},
          {"to", tried_.empty() ? "" : tried_.back()},
          {"tried", tried_.size()},
          {"status", status},
@@ -272,4 +275,20 @@
     end(0);
 }
 
+void relay_operation::on_config_changed()
+{
+    if (session_ == nullptr || connected_)
+        return;
+    const auto renewed = owner_->authenticate_again(*session_, *route_);
+    if (renewed.outcome == authentication_outcome::accepted)
+        return;
+    const boost::intrusive_ptr<relay_operation> guard{this};
+    if (socket_)
+        end_target(relay_result::served);
+    owner_->stats_->count("revoked_requests_total");
+    owner_->refuse_unauthenticated(
+        *std::exchange(session_, nullptr), renewed.outcome);
+    end(unauthorized);
+}
+
 } // namespace peridotward
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -33,6 +33,10 @@
     void begin();
     void on_caller_disconnect() override;
 
+    /// \brief Refuses the request if its key was revoked before it was sent to
+    /// another instance.
+    void on_config_changed() override;
+
 private:
     void on_events(std::uint32_t events) override;
     void on_timeout();
@@ -49,8 +53,9 @@
     [[nodiscard]] std::string serialize() const;
 
     forwarder* owner_;
-    http_session* session_; ///< Null after the answer or a disconnect.
-    std::string route_;
+    http_session* session_;     ///< Null after the answer or a disconnect.
+    forward_config_ptr config_; ///< Holds `route_`.
+    const forward_route* route_;
     std::string route_version_; ///< For the field `relayed_config`.
     forward_times times_;
     std::string request_id_;
