core, gateway, wire: quotas of client accounts over all instances

A request beyond the quota gets 429 with a retry time of its own; one that reached no replica is refunded. Metrics for the largest ten accounts, the state page and a bounded log line show use and refusals.

--- a/core/include/peridotward/core/membership/peer_message.hpp
+++ b/core/include/peridotward/core/membership/peer_message.hpp
@@ -292,6 +292,30 @@
     std::string weights;
 };
 
+/// \brief Asks a granter for credits of an account's quota, and returns credits
+/// that it granted before and that have not been used.
+struct credit_request
+{
+    /// Increases from one request of the sender to the next.
+    std::uint64_t sequence = 0;
+    std::string account; ///< Name of the account.
+    /// In thousandths of a request.
+    std::uint32_t wanted_milli = 0;
+    std::uint32_t returned_milli = 0;
+    /// Time since the returned credits were granted, at least.
+    std::uint32_t returned_age_ms = 0;
+};
+
+/// \brief Answers a `credit_request` that wants credits.
+struct credit_grant
+{
+    std::uint64_t sequence = 0;
+    std::string account;
+    std::uint32_t granted_milli = 0; ///< In thousandths of a request.
+    /// Credits that the sender still has, in thousandths of a request.
+    std::uint32_t level_milli = 0;
+};
+
 /// \brief All messages between instances.
 using peer_message = std::variant<
     probe,
@@ -310,7 +334,9 @@
     rate_share_request,
     rate_share_grant,
     crash_records,
-    load_reports>;
+    load_reports,
+    credit_request,
+    credit_grant>;
 
 /// \brief A message and the id of the instance to send it to.
 struct outgoing_message
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/accounts/account_quotas.hpp>
 #include <peridotward/core/accounts/authentication.hpp>
 #include <peridotward/core/admission/load_report_exchange.hpp>
 #include <peridotward/core/admission/retry_schedule.hpp>
@@ -17,6 +18,8 @@
 #include <peridotward/gateway/upstream_pool.hpp>
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +27,7 @@
 namespace peridotward {
 
 class forward_operation;
+class quota_wait;
 class relay_operation;
 
 /// \brief Routes callers' requests and forwards them to upstreams.
@@ -80,7 +84,10 @@
     /// reaches no upstream; the directory should list only them.
     [[nodiscard]] bool replaced() const noexcept { return replaced_; }
 
-    /// \brief Applies the retry and cold-start limits of the changed settings.
+    [[nodiscard]] account_quotas& quotas() noexcept { return quotas_; }
+
+    /// \brief Applies the retry, cold-start and quota limits of the changed
+    /// settings.
     void apply_settings();
 
     /// \brief From now on closes callers' connections after each answer.
@@ -111,8 +118,21 @@
 
 private:
     friend class forward_operation;
+    friend class quota_wait;
     friend class relay_operation;
 
+    /// \brief Handles a request that has arrived, or that has waited for a
+    /// credit of its account's quota.
+    void handle(http_session& session, std::optional<time_point> waited_since);
+    /// \brief Charges a request to the quota of its account.
+    /// \returns Whether it is admitted; if not, it has been refused or waits.
+    bool charge(
+        http_session& session,
+        const client_account& account,
+        std::optional<time_point> waited_since);
+    /// \brief Lets the requests that wait for credits of `account` try again.
+    void resume(const std::string& account);
+    void log_quota_refusals(time_point now);
     void refuse(
         http_session& session,
         std::uint32_t status,
@@ -202,6 +222,7 @@
     retry_budgets retry_budgets_;
     load_shedders load_shedders_;
     load_report_exchange load_report_exchange_;
+    account_quotas quotas_;
     fleet_view fleet_;
     upstream_pool pool_;
     forward_config_ptr config_;
@@ -212,6 +233,9 @@
     /// upstreams share one schedule.
     std::unordered_map<std::string, retry_schedule> retry_schedules_;
     time_point next_budget_log_;
+    /// By account: the refusals beyond its quota since the last log line.
+    std::map<std::string, std::uint64_t, std::less<>> quota_refusals_;
+    time_point next_quota_log_;
     /// By set of services that is overloaded: when to log it again.
     std::unordered_map<std::string, time_point> next_shedding_log_;
     std::size_t open_requests_ = 0;
@@ -223,6 +247,10 @@
     boost::intrusive::
         list<request_state, boost::intrusive::constant_time_size<false>>
             operations_;
+    /// The requests that wait for credits.
+    boost::intrusive::
+        list<request_state, boost::intrusive::constant_time_size<false>>
+            quota_waits_;
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/base/endpoint.hpp>
 #include <peridotward/base/error.hpp>
 #include <peridotward/base/time.hpp>
+#include <peridotward/core/accounts/quota_bounds.hpp>
 #include <peridotward/core/budgets/cold_limit.hpp>
 #include <peridotward/core/budgets/retry_budget_window.hpp>
 
@@ -39,6 +40,7 @@
 
     retry_bounds retries;    ///< Budget of extra attempts, for the whole fleet.
     cold_bounds cold_starts; ///< Load limits of cold replicas.
+    quota_bounds quotas;     ///< Tolerance of the accounts' quotas.
     /// Time between the stop signal and the kill.
     duration shutdown_grace = seconds{6};
     /// Max time for which callers cache a directory answer.
--- a/gateway/include/peridotward/gateway/request_state.hpp
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -3,6 +3,8 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <string_view>
+
 namespace peridotward {
 
 /// \brief Reference-counted state of one request; lives until the request's
@@ -27,6 +29,10 @@
 
     /// \brief Called when a newer configuration is in force.
     virtual void on_config_changed() {}
+
+    /// \brief Called when credits of an account, or the answer that there are
+    /// none, have arrived for requests that wait for them.
+    virtual void on_credits(std::string_view) {}
 };
 
 } // namespace peridotward
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -2,9 +2,52 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace peridotward {
 
+namespace {
+
+/// Accounts with metrics of their own: those with the largest quotas.
+constexpr std::size_t named_accounts = 10;
+
+using account_use = account_quotas::account_use;
+using named_use = std::pair<std::string, account_use>;
+
+std::vector<named_use> uses_of(const account_quotas& quotas)
+{
+    std::vector<named_use> uses;
+    quotas.visit([&](const std::string& account, const account_use& use) {
+        uses.emplace_back(account, use);
+    });
+    return uses;
+}
+
+/// Adds the uses of all accounts with smaller quotas to one.
+void aggregate_small(std::vector<named_use>& uses)
+{
+    if (uses.size() <= named_accounts)
+        return;
+    std::stable_sort(
+        uses.begin(), uses.end(), [](const auto& left, const auto& right) {
+            return left.second.quota.per_second > right.second.quota.per_second;
+        });
+    named_use others{"(others)", {}};
+    for (std::size_t i = named_accounts; i < uses.size(); ++i) {
+        const auto& use = uses[i].second;
+        others.second.admitted += use.admitted;
+        others.second.refused += use.refused;
+        others.second.refunded += use.refunded;
+        others.second.waited += use.waited;
+    }
+    uses.resize(named_accounts);
+    uses.push_back(std::move(others));
+}
+
+} // namespace
+
 std::string control_handler::render_metrics() const
 {
     auto text = stats_->render();
@@ -50,6 +93,23 @@
     gauge(
         "least_admitted_percent",
         static_cast<std::uint64_t>(std::lround(admitted * 100)));
+    auto uses = uses_of(forwarding_->quotas());
+    std::uint64_t limited = 0;
+    for (const auto& [account, use] : uses)
+        limited += use.quota.limited() ? 1 : 0;
+    gauge("accounts_limited", limited);
+    gauge(
+        "quota_part_permille",
+        static_cast<std::uint64_t>(
+            forwarding_->quotas().part(loop_->now()) * 1000));
+    aggregate_small(uses);
+    for (const auto& [account, use] : uses) {
+        const auto label = "{account=" + json(account).dump() + "}";
+        gauge("account_admitted_total" + label, use.admitted);
+        gauge("account_refused_total" + label, use.refused);
+        gauge("account_refunded_total" + label, use.refunded);
+        gauge("account_waited_total" + label, use.waited);
+    }
     gauge("requests_suspected", forwarding_->crashes().size());
     gauge("requests_quarantined", forwarding_->crashes().quarantined());
     return text;
@@ -94,6 +154,19 @@
              {"admitted", shedder->share()},
              {"utilization", shedder->utilization()},
              {"mean_utilization", shedder->mean()}});
+    dump["quota_part"] = forwarding_->quotas().part(now);
+    auto& accounts = dump["accounts"] = json::array();
+    for (const auto& [account, use] : uses_of(forwarding_->quotas()))
+        accounts.push_back(
+            {{"account", account},
+             {"per_second", use.quota.per_second},
+             {"burst", use.quota.burst},
+             {"admitted", use.admitted},
+             {"refused", use.refused},
+             {"refunded", use.refunded},
+             {"waited", use.waited},
+             {"credits", use.credits},
+             {"granter", use.granter}});
     dump["barred_domains"] = catalog.excluded_domains();
     auto& members = dump["members"] = json::array();
     for (const auto& [id, member] : peers_->members().members())
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -35,6 +35,7 @@
       fingerprints_{fingerprints},
       crash_marks_{
           owner.crash_history_.marks_of(fingerprints, owner.loop_->now())},
+      charged_at_{owner.loop_->now()},
       head_{forwarded_request_head(
           session.request(),
           *owner.names_,
@@ -252,6 +253,8 @@
         withdraw_all();
     else
         withdraw_unneeded();
+    if (end == forward_end::not_run || !request_.reached_replica())
+        refund();
     --owner_->open_requests_;
     log_end(end);
     const bool success =
@@ -272,6 +275,13 @@
         session->respond(answer_head_, bodies_.front());
 }
 
+void forward_operation::refund()
+{
+    if (request_.account() != nullptr)
+        owner_->quotas_.refund(
+            request_.account()->name, charged_at_, owner_->loop_->now());
+}
+
 void forward_operation::answer_parts(http_session& session)
 {
     std::string head = "HTTP/1.1 200 OK\r\n";
@@ -389,6 +399,8 @@
         request_.route().name,
         "caller_left",
         owner_->loop_->now() - request_.times().arrived);
+    if (!request_.reached_replica())
+        refund();
     abandon();
 }
 
@@ -399,6 +411,8 @@
         return;
     const boost::intrusive_ptr<forward_operation> guard{this};
     auto& session = *std::exchange(session_, nullptr);
+    // The other instance charges the request again.
+    refund();
     abandon();
     owner_->relay(session, request_.route(), request_.times(), request_id_);
 }
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -62,6 +62,8 @@
     void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
     void finish(forward_end end);
+    /// \brief Gives back the credit of the account's quota.
+    void refund();
     void answer_parts(http_session& session);
     void answer_failure(http_session& session, forward_end end);
     void log_end(forward_end end) const;
@@ -74,6 +76,7 @@
     std::string request_id_;
     request_fingerprints fingerprints_;
     crash_history::marks crash_marks_; ///< When the request arrived.
+    time_point charged_at_;            ///< To the quota of its account.
     std::string head_; ///< Request line and fields common to all attempts.
     std::string body_;
     bool has_length_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -1,4 +1,5 @@
 #include "forward_operation.hpp"
+#include "quota_wait.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -30,6 +31,10 @@
 constexpr seconds budget_log_interval{1};
 /// Interval of the log lines about overloaded upstreams.
 constexpr seconds shedding_log_interval{1};
+/// Interval of the log lines about refusals beyond quotas.
+constexpr seconds quota_log_interval{1};
+/// Accounts with a log line in each interval; those with the most refusals.
+constexpr std::size_t logged_accounts = 3;
 /// Services with fewer extra attempts in the window are not logged.
 constexpr double min_logged_spend = 5;
 /// Share of the budget from which its use is logged.
@@ -87,10 +92,12 @@
       relay_targets_{random_},
       retry_budgets_{settings.retries},
       load_report_exchange_{load_shedders_, random_},
+      quotas_{random_, loop.now()},
       pool_{loop, catalog_, names}
 {
     fleet_.self = settings.listen.peers.text();
     retry_budgets_.started(loop.now());
+    quotas_.bounds(settings.quotas);
     pool_.on_leaving = [this](replica_number number) {
         const auto& published = catalog_.at(number).published;
         stats_->count("upstreams_leaving_total");
@@ -149,6 +156,7 @@
          {"services", config->services.size()}});
     config_ = std::move(config);
     load_shedders_.keep_only(*config_);
+    quotas_.apply(config_->accounts, loop_->now());
     turns_.reset();
     std::vector<boost::intrusive_ptr<request_state>> open;
     for (auto& each : operations_)
@@ -194,6 +202,12 @@
         crash_history_exchange_.on_message(from, *records, now, answers);
     else if (const auto* loads = std::get_if<load_reports>(&message))
         load_report_exchange_.on_message(*loads, now);
+    else if (const auto* wanted = std::get_if<credit_request>(&message))
+        quotas_.on_message(from, *wanted, fleet_, now, answers);
+    else if (const auto* credits = std::get_if<credit_grant>(&message)) {
+        if (quotas_.on_message(from, *credits, now))
+            resume(credits->account);
+    }
     if (!answers.empty())
         send_to_peers(std::move(answers));
 }
@@ -202,6 +216,7 @@
 {
     retry_budgets_.bounds(settings_->retries);
     replica_selector_.bounds(settings_->cold_starts);
+    quotas_.bounds(settings_->quotas);
 }
 
 retry_schedule& forwarder::retry_schedule_of(const forwarded_request& request)
@@ -243,6 +258,73 @@
 }
 
 void forwarder::on_request(http_session& session)
+{
+    handle(session, std::nullopt);
+}
+
+bool forwarder::charge(
+    http_session& session,
+    const client_account& account,
+    std::optional<time_point> waited_since)
+{
+    const auto now = loop_->now();
+    std::vector<outgoing_message> messages;
+    const auto decision =
+        quotas_.try_acquire(account.name, waited_since, fleet_, now, messages);
+    if (!messages.empty() && send_to_peers)
+        send_to_peers(std::move(messages));
+    if (decision.outcome == quota_outcome::admitted)
+        return true;
+    if (decision.outcome == quota_outcome::waiting) {
+        const boost::intrusive_ptr<quota_wait> wait{new quota_wait{
+            *this, session, account.name, waited_since.value_or(now)}};
+        session.state = wait;
+        wait->begin(decision.retry_at);
+        return false;
+    }
+    stats_->count("quota_refusals_total");
+    ++quota_refusals_[account.name];
+    refuse(
+        session,
+        429,
+        "not run: the account is beyond its quota",
+        std::chrono::ceil<milliseconds>(decision.retry_at - now));
+    return false;
+}
+
+void forwarder::resume(const std::string& account)
+{
+    std::vector<boost::intrusive_ptr<request_state>> waiting;
+    for (auto& each : quota_waits_)
+        waiting.emplace_back(&each);
+    for (const auto& each : waiting)
+        each->on_credits(account);
+}
+
+void forwarder::log_quota_refusals(time_point now)
+{
+    if (quota_refusals_.empty() || now < next_quota_log_)
+        return;
+    next_quota_log_ = now + quota_log_interval;
+    std::vector<std::pair<std::uint64_t, std::string_view>> order;
+    for (const auto& [account, count] : quota_refusals_)
+        order.emplace_back(count, account);
+    std::sort(order.begin(), order.end(), std::greater<>{});
+    for (std::size_t i = 0; i < std::min(order.size(), logged_accounts); ++i)
+        log_->write(
+            now,
+            event_severity::notable,
+            "quota_exceeded",
+            {{"account", order[i].second},
+             {"refused", order[i].first},
+             {"accounts", order.size()},
+             {"part_permille",
+              static_cast<std::uint64_t>(quotas_.part(now) * 1000)}});
+    quota_refusals_.clear();
+}
+
+void forwarder::handle(
+    http_session& session, std::optional<time_point> waited_since)
 {
     const auto& request = session.request();
     const auto id = request.fields.find(names_->request_id);
@@ -314,6 +396,9 @@
             relay(session, *route, times, std::string{*id});
         return;
     }
+    if (authenticated.account != nullptr &&
+        !charge(session, *authenticated.account, waited_since))
+        return;
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
@@ -436,11 +521,13 @@
 {
     log_retry_budgets(now);
     log_load_shedding(now);
+    log_quota_refusals(now);
     exchange_crash_history();
     check_upstream_contact(now);
     std::vector<outgoing_message> messages;
     rate_share_exchange_.poll(fleet_, now, messages);
     load_report_exchange_.poll(fleet_, now, messages);
+    quotas_.poll(fleet_, now, messages);
     if (!messages.empty() && send_to_peers)
         send_to_peers(std::move(messages));
     pool_.check(now);
--- a/gateway/src/forwarder_protection.cpp
+++ b/gateway/src/forwarder_protection.cpp
@@ -108,6 +108,8 @@
     std::vector<boost::intrusive_ptr<request_state>> open;
     for (auto& each : operations_)
         open.emplace_back(&each);
+    for (auto& each : quota_waits_)
+        open.emplace_back(&each);
     for (const auto& each : open)
         each->on_upstreams_lost();
     // Bytes that the cut holds up would arrive at its end.
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -118,6 +118,15 @@
     fleet.total_weight = 0;
     for (const auto capacity : capacities)
         fleet.total_weight += sender_weight::of(capacity, max_capacity);
+    fleet.other_weights.clear();
+    for (const auto& id : fleet.others) {
+        const auto found = peers.members().members().find(id);
+        fleet.other_weights.push_back(sender_weight::of(
+            found == peers.members().members().end()
+                ? 0
+                : found->second.latest_update.capacity,
+            max_capacity));
+    }
 }
 
 void gateway::implementation::check()
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -63,6 +63,15 @@
         from.number("cold_slack", 0, max_extra_requests);
     settings.shutdown_grace = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>{from.number("grace_s", 0, 3600)});
+    if (from.has("quota_window_s"))
+        settings.quotas.window =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+                from.number("quota_window_s", 0.1, 3600)});
+    if (from.has("quota_over"))
+        settings.quotas.over = from.number("quota_over", 0, max_ratio);
+    if (from.has("quota_slack"))
+        settings.quotas.slack =
+            from.number("quota_slack", 0, max_extra_requests);
     from.finish();
 }
 
@@ -122,6 +131,7 @@
     append_unless_equal(from.store == to.store, "store");
     append_unless_equal(from.retries == to.retries, "limits.repeat");
     append_unless_equal(from.cold_starts == to.cold_starts, "limits.cold");
+    append_unless_equal(from.quotas == to.quotas, "limits.quota");
     append_unless_equal(
         from.shutdown_grace == to.shutdown_grace, "limits.grace_s");
     append_unless_equal(
--- a/gateway/src/peer_gossip.cpp
+++ b/gateway/src/peer_gossip.cpp
@@ -192,7 +192,9 @@
         on_message && (std::holds_alternative<rate_share_request>(*message) ||
                        std::holds_alternative<rate_share_grant>(*message) ||
                        std::holds_alternative<crash_records>(*message) ||
-                       std::holds_alternative<load_reports>(*message)))
+                       std::holds_alternative<load_reports>(*message) ||
+                       std::holds_alternative<credit_request>(*message) ||
+                       std::holds_alternative<credit_grant>(*message)))
         on_message(from, *message);
     else
         ++bad_frames_;
--- a/instance/src/fleet/fleet_runner.cpp
+++ b/instance/src/fleet/fleet_runner.cpp
@@ -27,6 +27,8 @@
         "peer_sent_rate_share_grant",
         "peer_sent_crash_records",
         "peer_sent_load_reports",
+        "peer_sent_credit_request",
+        "peer_sent_credit_grant",
     };
 
 member_update
--- a/wire/src/message_fields.hpp
+++ b/wire/src/message_fields.hpp
@@ -318,4 +318,27 @@
     };
 };
 
+template<>
+struct message_fields<credit_request>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &credit_request::sequence},
+        message_field{"account", &credit_request::account},
+        message_field{"wanted_milli", &credit_request::wanted_milli},
+        message_field{"returned_milli", &credit_request::returned_milli},
+        message_field{"returned_age_ms", &credit_request::returned_age_ms},
+    };
+};
+
+template<>
+struct message_fields<credit_grant>
+{
+    static constexpr std::tuple list{
+        message_field{"sequence", &credit_grant::sequence},
+        message_field{"account", &credit_grant::account},
+        message_field{"granted_milli", &credit_grant::granted_milli},
+        message_field{"level_milli", &credit_grant::level_milli},
+    };
+};
+
 } // namespace peridotward
