core: quotas after a start; buckets take more of the tolerance

Change: a granter starts with half of its depth, one credit at least, and fills at half of its rate for the first second. Buckets take 0.4 of the tolerance's rate instead of 0.3.

--- a/core/include/peridotward/core/accounts/account_quotas.hpp
+++ b/core/include/peridotward/core/accounts/account_quotas.hpp
@@ -33,7 +33,7 @@
     /// Share of both tolerances by which the buckets' rate exceeds the quota's,
     /// and by which their depth exceeds the burst. The rest covers instances
     /// that disagree about the granters.
-    static constexpr double rate_tolerance = 0.3;
+    static constexpr double rate_tolerance = 0.4;
     static constexpr double depth_tolerance = 0.4;
     /// Time within which an instance must use a credit of a granter.
     static constexpr milliseconds credit_term{300};
@@ -48,9 +48,14 @@
     static constexpr milliseconds min_interval{50};
     static constexpr milliseconds max_interval{400};
     /// Time after a start in which granters may not agree yet, and the part of
-    /// its rate that a granter grants in it.
+    /// its rate that a granter grants in it, and of its depth that it starts
+    /// with.
     static constexpr milliseconds join_time{1000};
-    static constexpr double join_part = 0.25;
+    static constexpr double join_part = 0.5;
+    /// Least credits of each account that a granter has at its start: after a
+    /// restart of all instances, the usual requests of a small account come
+    /// sooner than its buckets fill.
+    static constexpr double initial_credits = 1;
     /// Time between polls after which this process was paused, and others may
     /// have granted in its place.
     static constexpr milliseconds pause_limit{1000};
--- a/core/include/peridotward/core/accounts/credit_bucket.hpp
+++ b/core/include/peridotward/core/accounts/credit_bucket.hpp
@@ -2,6 +2,8 @@
 
 #include <peridotward/base/time.hpp>
 
+#include <algorithm>
+
 namespace peridotward {
 
 /// \brief Token bucket of one granter's share of an account's quota.
@@ -26,6 +28,12 @@
     /// \brief Holds as many credits as its depth allows.
     void fill_up() noexcept { level_ = depth_; }
 
+    /// \brief Holds `credits`, as far as its depth allows.
+    void start_with(double credits) noexcept
+    {
+        level_ = std::min(credits, depth_);
+    }
+
     /// \returns Up to `wanted` credits, which are taken out.
     [[nodiscard]] double take(double wanted) noexcept;
 
--- a/core/src/accounts/account_quotas.cpp
+++ b/core/src/accounts/account_quotas.cpp
@@ -152,6 +152,10 @@
         now);
     if (added && std::exchange(account.fresh, false))
         account.bucket->fill_up();
+    else if (added && now - started_ < join_time)
+        account.bucket->start_with(std::max(
+            initial_credits,
+            join_part * depth_of(account.quota) / account.granter_count));
 }
 
 double
--- a/core/tests/account_quotas_test.cpp
+++ b/core/tests/account_quotas_test.cpp
@@ -355,6 +355,28 @@
     }
 }
 
+TEST_CASE(
+    "account quotas: after a restart of all instances the usual requests are "
+    "admitted",
+    "[account_quotas]")
+{
+    for (const std::size_t instances : {8, 67, 740}) {
+        for (const auto& [quota, usual] :
+             {std::pair{small, 1.0}, std::pair{large, 13.0}}) {
+            CAPTURE(instances, usual);
+            quota_fleet_simulation fleet{instances, quota};
+            fleet.play(seconds{20}, usual, strong_ones);
+            fleet.clear_counts();
+            for (int restarts = 0; restarts < 5; ++restarts) {
+                for (std::size_t i = 0; i < instances; ++i)
+                    fleet.restart(i);
+                fleet.play(seconds{20}, usual, strong_ones);
+            }
+            CHECK(fleet.refused() * 1000 <= fleet.asked());
+        }
+    }
+}
+
 TEST_CASE(
     "account quotas: a lowered quota binds after one window, a raised one at "
     "once",
