core: load shedding by priority, and with few reports per instance

Cause: load_shedder knew only fresh and late requests. An overload lengthens answers, so the kinds with the shortest target, which are often the most urgent, became late first and were refused first. At 740 instances, an instance sees about one request a second, and the recent reports of an interval were often too few to count; the share then grew as if the load were unknown, and all instances admitted too much.

Change: try_admit takes an admission_request (priority, freshness, spare parts, account index or none; the account isn't used yet). The share is that of the least urgent priority seen within 60 s; each more urgent one, up to two ranks, has 8 times the share of the next, at most 1 and at least min_share. Late requests give way to fresh ones of their priority but get no less than fresh ones of the priority below. The shares don't depend on the mix of requests that an instance sees. While recent reports are few, the mean of the last 600 ms is used, with a fifth of the exponent. With one priority and enough reports, decisions are as before. The experiment gains kinds of requests, accounts and counts of the first 2 s of a surge.

--- a/core/include/peridotward/core/admission/load_shedder.hpp
+++ b/core/include/peridotward/core/admission/load_shedder.hpp
@@ -1,34 +1,20 @@
 #pragma once
 
-#include <peridotward/base/names.hpp>
 #include <peridotward/base/time.hpp>
+#include <peridotward/core/admission/admission_request.hpp>
 #include <peridotward/core/admission/decaying_mean.hpp>
+#include <peridotward/core/admission/priority_ranks.hpp>
 #include <peridotward/core/placement/replica_health.hpp>
 
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <vector>
 
 namespace peridotward {
 
-/// \brief What a request can still be worth to its caller.
-enum class request_freshness : std::uint8_t
-{
-    fresh, ///< Can be answered within its target latency.
-    late,  ///< Has used its target latency up, for example in a first attempt.
-};
-
-template<>
-struct name_table<request_freshness>
-{
-    static constexpr std::array entries{
-        std::pair{request_freshness::fresh, std::string_view{"fresh"}},
-        std::pair{request_freshness::late, std::string_view{"late"}},
-    };
-};
-
 /// \brief Recent load reports of a group of replicas.
 struct load_summary
 {
@@ -55,7 +41,11 @@
 /// shares of all instances agree. Utilization responds to a changed share
 /// within one service time, whereas a queue integrates the excess; so the share
 /// follows utilization. While the load is unknown, the share grows until all
-/// requests are admitted. Sans-IO.
+/// requests are admitted.
+///
+/// The share is that of the least urgent priority of recent requests; each more
+/// urgent one has a multiple of it. So the shares of two instances agree
+/// whatever each of them gets, also if they see few requests. Sans-IO.
 class load_shedder
     : public boost::
           intrusive_ref_counter<load_shedder, boost::thread_unsafe_counter>
@@ -83,8 +73,13 @@
     static constexpr double max_utilization = 2;
     /// Share from which all requests are admitted: smaller changes are noise.
     static constexpr double shed_below = 0.9;
-    /// Lowest admitted share, so that reports of load continue.
+    /// Lowest admitted share of any priority, so that none starves and reports
+    /// of load continue.
     static constexpr double min_share = 0.02;
+    /// Ratio between the shares of two successive priorities. All requests of
+    /// the more urgent one are admitted until the other one keeps an eighth: at
+    /// 12 times the usual rate, a lower ratio refuses urgent requests early.
+    static constexpr double priority_ratio = 8;
 
     /// \param services Services that each request needs a replica of.
     explicit load_shedder(std::size_t services)
@@ -92,14 +87,14 @@
           deviations_(services, decaying_mean{deviation_time_constant}),
           own_mean_{mean_time_constant},
           mean_of_all_{mean_time_constant},
+          older_mean_{deviation_time_constant},
           demand_{demand_time_constant},
           spare_{services}
     {}
 
     /// \brief Decides whether a request may start.
-    /// \param spare Services without which the request succeeds.
     [[nodiscard]] bool
-    try_admit(request_freshness freshness, std::size_t spare, time_point now);
+    try_admit(const admission_request& request, time_point now);
 
     /// \brief Records the load that a replica reported to this instance.
     /// \param service Index of its service.
@@ -113,9 +108,12 @@
     /// \returns What replicas reported to this instance.
     [[nodiscard]] instance_loads own_loads(time_point now);
 
-    /// \returns Share of the fresh requests that are admitted, in
-    /// [`min_share`, 1].
-    [[nodiscard]] double share() const noexcept { return share_; }
+    /// \returns Share of the fresh requests of the least urgent priority that
+    /// are admitted, in [`min_share`, 1].
+    [[nodiscard]] double share() const noexcept
+    {
+        return std::max(share_, min_share);
+    }
 
     /// \returns Whether some requests are refused.
     [[nodiscard]] bool sheds() const noexcept { return share_ < shed_below; }
@@ -156,6 +154,19 @@
     /// \returns Whether the rate of requests has fallen, so that the queues
     /// get shorter without refusals.
     [[nodiscard]] bool burst_has_ended(time_point now);
+    /// \brief Records the priority of a request.
+    /// \returns Its rank.
+    std::size_t record_priority(std::int32_t priority, time_point now);
+    /// \returns The share of the fresh requests of a rank that are admitted.
+    [[nodiscard]] double fresh_share(std::size_t rank) const noexcept;
+    /// \returns The same for late requests. They give way to fresh ones of
+    /// their rank, but get no less than fresh ones of the rank below: an
+    /// overload makes the requests with the shortest target late, which are
+    /// often the most urgent ones.
+    [[nodiscard]] double late_share(std::size_t rank) const noexcept;
+    /// \returns The lowest value of `share_`, at which the most urgent
+    /// priority has `min_share`.
+    [[nodiscard]] double lowest_share() const noexcept;
     /// \brief Estimates the utilization that the share follows.
     void estimate_utilization(time_point now);
     /// \returns The largest of `deviations` but for those of `spare_` services.
@@ -167,11 +178,15 @@
     std::vector<decaying_mean> deviations_;
     decaying_mean own_mean_;
     decaying_mean mean_of_all_; ///< Of the reports to any instance.
-    decaying_mean demand_;      ///< Of the requests; only the weight is used.
+    /// Of the same, over a longer time: used while there are few reports, as at
+    /// instances with few callers in a large fleet.
+    decaying_mean older_mean_;
+    decaying_mean demand_; ///< Of the requests; only the weight is used.
     double peak_demand_ = 0;
     time_point peak_at_;
     std::size_t spare_; ///< Of the request with the fewest so far.
-    double share_ = 1;
+    priority_ranks ranks_;
+    double share_ = 1; ///< Of rank 0; below `min_share` only for ranks above.
     double utilization_ = 0;
     double mean_ = 0;
     bool suspects_overload_ = false;
@@ -179,8 +194,11 @@
     time_point reported_at_; ///< To this instance.
     time_point informed_at_; ///< To any instance.
     time_point adjusted_at_;
-    /// By `request_freshness`: admissions that are due.
-    std::array<double, name_table<request_freshness>::entries.size()> due_{};
+    /// By rank and `request_freshness`: admissions that are due.
+    std::array<
+        std::array<double, name_table<request_freshness>::entries.size()>,
+        priority_ranks::max_rank + 1>
+        due_{};
 };
 
 } // namespace peridotward
--- a/core/include/peridotward/core/experiment/forward_experiment.hpp
+++ b/core/include/peridotward/core/experiment/forward_experiment.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace peridotward {
 
@@ -49,6 +50,27 @@
     bool operator==(const forward_features&) const = default;
 };
 
+/// \brief A kind of requests, all of which need the same services.
+struct request_kind
+{
+    std::int32_t priority = 0; ///< 0 is the most urgent.
+    double requests_per_second = 180;
+    milliseconds work{9};     ///< Mean service time of a part.
+    milliseconds target{100}; ///< Target latency of a request.
+    milliseconds timeout{600};
+    double surge_factor = 1; ///< Of this kind alone, during a surge.
+};
+
+/// \brief Client accounts that share the requests of an experiment.
+struct account_load
+{
+    std::uint32_t accounts = 0; ///< 0: requests have no account.
+    std::uint32_t large = 0;    ///< Of these, accounts that send more.
+    double large_factor = 13;   ///< Requests of a large account / small one.
+    /// Rate of the last account, a small one, during a surge / its usual rate.
+    double busy_factor = 1;
+};
+
 /// \brief Size and load of the simulated deployment.
 struct experiment_size
 {
@@ -65,6 +87,10 @@
     double surge_factor = 4;
     /// How often callers that get no answer repeat the request, at once.
     std::uint32_t caller_repeats = 0;
+    /// Replaces `requests_per_second`, `work`, `target`, `timeout` and
+    /// `surge_factor`; empty for a single kind.
+    std::vector<request_kind> kinds;
+    account_load accounts;
 };
 
 /// \brief Counts of the requests that arrived in a part of an experiment.
@@ -84,6 +110,18 @@
         const std::chrono::duration<double> time = length;
         return time.count() > 0 ? in_time / time.count() : 0;
     }
+
+    /// \returns The share of the requests that were not refused.
+    [[nodiscard]] double admitted_share() const noexcept
+    {
+        return requests > 0 ? 1 - static_cast<double>(refused) / requests : 1;
+    }
+
+    /// \returns The share of the requests that were answered in time.
+    [[nodiscard]] double in_time_share() const noexcept
+    {
+        return requests > 0 ? static_cast<double>(in_time) / requests : 1;
+    }
 };
 
 /// \brief Counts and quality measures of one experiment.
@@ -104,6 +142,10 @@
     double busiest_ratio = 0; ///< Arrivals of the busiest replica / mean.
     phase_result fault;       ///< From 2 s after the fault's start to its end.
     phase_result recovery;    ///< From 1 s after the end of the fault.
+    phase_result onset;       ///< The first 2 s of the fault.
+    std::vector<phase_result> fault_by_kind;    ///< As `fault`.
+    std::vector<phase_result> onset_by_kind;    ///< As `onset`.
+    std::vector<phase_result> fault_by_account; ///< As `fault`.
     /// Largest and smallest number of admitted requests in 250 ms of `fault`,
     /// relative to the mean.
     double max_admitted = 0;
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -368,6 +368,9 @@
     /// otherwise `otherwise`. The owner must then withdraw the open attempts.
     [[nodiscard]] forward_end
     failure_kind(forward_end otherwise) const noexcept;
+    /// \returns The index of the account, or nothing without an account.
+    [[nodiscard]] std::optional<account_index>
+    account_index_in_config() const noexcept;
     [[nodiscard]] bool try_admit(
         const forward_context& context,
         const latency_profile& profile,
--- a/core/src/admission/load_shedder.cpp
+++ b/core/src/admission/load_shedder.cpp
@@ -22,6 +22,9 @@
 /// Increase of the exponent by the utilization above 1: a queue that grows has
 /// to end soon.
 constexpr double queue_exponent = 1.2;
+/// Factor of the exponent while the mean is that of a longer time: the ratio of
+/// the two time constants, rounded up.
+constexpr double older_mean_exponent = 0.2;
 /// Limits of one adjustment.
 constexpr double max_decrease = 0.4;
 constexpr double max_increase = 1.5;
@@ -66,6 +69,7 @@
     own_[service].add(utilization, 1, now);
     own_mean_.add(utilization, 1, now);
     mean_of_all_.add(utilization, 1, now);
+    older_mean_.add(utilization, 1, now);
     deviations_[service].add(utilization - mean_utilization(now), 1, now);
     reported_ = true;
     reported_at_ = now;
@@ -90,9 +94,11 @@
         deviations_[i].add(reports.mean - total / weight, reports.weight, now);
     }
     mean_of_all_.add(loads.all.mean, loads.all.weight, now);
+    older_mean_.add(total / weight, weight, now);
     // The utilization only determines what all instances admit together.
     share_ *= std::pow(
-        std::clamp(loads.share, min_share, 1.0) / share_, peer_share_weight);
+        std::clamp(loads.share, lowest_share(), 1.0) / share_,
+        peer_share_weight);
     reported_ = true;
     informed_at_ = now;
     adjust(now);
@@ -113,8 +119,10 @@
 {
     // What other instances pass on is older.
     const double enough = min_own_weight * static_cast<double>(own_.size());
-    return own_mean_.weight(now) >= enough ? own_mean_.mean()
-                                           : mean_of_all_.mean();
+    if (own_mean_.weight(now) >= enough)
+        return own_mean_.mean();
+    return mean_of_all_.weight(now) >= min_reports ? mean_of_all_.mean()
+                                                   : older_mean_.mean();
 }
 
 double load_shedder::decisive(std::vector<double>& deviations) const
@@ -162,14 +170,17 @@
 {
     if (now - adjusted_at_ < adjust_interval)
         return;
-    const bool known =
+    const bool recent =
         std::max(own_mean_.weight(now), mean_of_all_.weight(now)) >=
         min_reports;
+    const bool known = recent || older_mean_.weight(now) >= min_reports;
     if (std::exchange(reported_, false) && known) {
         const double before = utilization_;
         estimate_utilization(now);
         const double exponent =
-            adjust_exponent + queue_exponent * std::max(0.0, utilization_ - 1);
+            (adjust_exponent +
+             queue_exponent * std::max(0.0, utilization_ - 1)) *
+            (recent ? 1 : older_mean_exponent);
         const double factor =
             std::pow(target_utilization / utilization_, exponent);
         const bool stays = before > target_utilization &&
@@ -183,7 +194,7 @@
     const std::chrono::duration<double> interval = adjust_interval;
     if (unknown > interval)
         share_ *= std::pow(unknown_increase, unknown / interval);
-    share_ = std::clamp(share_, min_share, 1.0);
+    share_ = std::clamp(share_, lowest_share(), 1.0);
     adjusted_at_ = now;
 }
 
@@ -203,18 +214,53 @@
            demand_.weight(now) < ended_demand * peak_demand_;
 }
 
-bool load_shedder::try_admit(
-    request_freshness freshness, std::size_t spare, time_point now)
+std::size_t load_shedder::record_priority(std::int32_t priority, time_point now)
 {
-    spare_ = std::min(spare_, spare);
+    const auto before = ranks_.highest();
+    const auto rank = ranks_.record(priority, now);
+    // The share of the most urgent priority stays as it is.
+    if (sheds() && before != ranks_.highest())
+        share_ = std::clamp(
+            share_ * std::pow(
+                         priority_ratio,
+                         static_cast<double>(before) -
+                             static_cast<double>(ranks_.highest())),
+            lowest_share(),
+            1.0);
+    return rank;
+}
+
+double load_shedder::lowest_share() const noexcept
+{
+    return min_share /
+           std::pow(priority_ratio, static_cast<double>(ranks_.highest()));
+}
+
+double load_shedder::fresh_share(std::size_t rank) const noexcept
+{
+    const double share =
+        share_ * std::pow(priority_ratio, static_cast<double>(rank));
+    return std::clamp(share, min_share, 1.0);
+}
+
+double load_shedder::late_share(std::size_t rank) const noexcept
+{
+    return std::max(
+        std::pow(fresh_share(rank), late_exponent),
+        rank > 0 ? fresh_share(rank - 1) : min_share);
+}
+
+bool load_shedder::try_admit(const admission_request& request, time_point now)
+{
+    spare_ = std::min(spare_, request.spare_parts);
     record_request(now);
+    const auto rank = record_priority(request.priority, now);
     adjust(now);
     if (!sheds())
         return true;
-    auto& due = due_[static_cast<std::size_t>(freshness)];
-    due += freshness == request_freshness::fresh
-               ? share_
-               : std::max(std::pow(share_, late_exponent), min_share);
+    auto& due = due_[rank][static_cast<std::size_t>(request.freshness)];
+    due += request.freshness == request_freshness::fresh ? fresh_share(rank)
+                                                         : late_share(rank);
     if (due >= 1) {
         due = std::clamp(due - 1, 0.0, 1.0);
         return true;
--- a/core/src/experiment/experiment.hpp
+++ b/core/src/experiment/experiment.hpp
@@ -48,7 +48,7 @@
     load_report_exchange load_exchange{shedders, random};
     bool sheds = true;
     fleet_view fleet;
-    latency_profile profile;
+    std::vector<latency_profile> profiles; ///< By kind of requests.
 
     [[nodiscard]] forward_context context()
     {
@@ -64,6 +64,8 @@
     bool counted; ///< Arrived after the warm-up.
     std::uint32_t repeats_left = 0;
     time_point first_arrived{};
+    std::size_t kind = 0;
+    std::size_t account = 0;
 };
 
 /// \brief Discrete-event simulation of one load pattern over instances and
@@ -124,13 +126,32 @@
     bool repeat(const simulated_request& request);
     /// \returns The phase in which the request arrived, or null.
     [[nodiscard]] phase_result* phase_of(const simulated_request& request);
+    /// \brief Counts the end of a request in a phase.
+    void count(
+        phase_result& phase,
+        const simulated_request& request,
+        forward_end end) const;
+    [[nodiscard]] latency_profile& profile_of(const simulated_request& request)
+    {
+        return request.owner->profiles[request.kind];
+    }
     void compute_admission_spread();
     void record_extra_attempt(std::uint32_t shard);
-    [[nodiscard]] duration service_time(const simulated_replica& replica);
+    [[nodiscard]] duration
+    service_time(const simulated_replica& replica, std::size_t kind);
     [[nodiscard]] duration
     remaining_pause(const simulated_replica& replica) const;
     [[nodiscard]] bool is_fault_active() const;
     [[nodiscard]] double arrival_rate() const;
+    /// \returns The rate of one kind without the busy account's excess.
+    [[nodiscard]] double arrival_rate_of(const request_kind& kind) const;
+    /// \returns The usual rate of an account relative to a small one.
+    [[nodiscard]] double account_weight(std::size_t account) const noexcept;
+    /// \returns The same at this time.
+    [[nodiscard]] double
+    current_account_weight(std::size_t account) const noexcept;
+    [[nodiscard]] std::size_t draw_kind();
+    [[nodiscard]] std::size_t draw_account();
 
     load_pattern pattern_;
     forward_features features_;
--- a/core/src/experiment/experiment_setup.cpp
+++ b/core/src/experiment/experiment_setup.cpp
@@ -24,6 +24,17 @@
       request_times_(size.shards),
       extra_attempt_times_(size.shards)
 {
+    if (size_.kinds.empty())
+        size_.kinds.push_back(
+            {0,
+             size.requests_per_second,
+             size.work,
+             size.target,
+             size.timeout,
+             size.surge_factor});
+    result_.fault_by_kind.resize(size_.kinds.size());
+    result_.onset_by_kind.resize(size_.kinds.size());
+    result_.fault_by_account.resize(size.accounts.accounts);
     build_config();
     replicas_.resize(static_cast<std::size_t>(size.shards) * size.replicas);
     const double share = pattern == load_pattern::slow ? slow_share
@@ -50,18 +61,25 @@
 void experiment::build_config()
 {
     auto built = std::make_shared<forward_config>();
-    forward_route route;
-    route.name = "search";
-    route.timeout = size_.timeout;
-    route.target_latency = size_.target;
-    route.max_attempts = features_.extra_attempts ? 2 : 1;
-    route.top_records = 10;
-    route.min_shard_share = features_.partial_answers ? 0.89 : 1.0;
+    std::vector<forward_service_index> shards;
     for (std::uint32_t shard = 0; shard < size_.shards; ++shard) {
         built->services.push_back({"s" + std::to_string(shard), "/", 0, {}, 0});
-        route.shards.push_back(shard);
+        shards.push_back(shard);
     }
-    built->routes.push_back(std::move(route));
+    for (const auto& kind : size_.kinds) {
+        forward_route route;
+        route.name = "search" + std::to_string(built->routes.size());
+        route.timeout = kind.timeout;
+        route.target_latency = kind.target;
+        route.priority = kind.priority;
+        route.max_attempts = features_.extra_attempts ? 2 : 1;
+        route.top_records = 10;
+        route.min_shard_share = features_.partial_answers ? 0.89 : 1.0;
+        route.shards = shards;
+        built->routes.push_back(std::move(route));
+    }
+    for (std::uint32_t i = 0; i < size_.accounts.accounts; ++i)
+        built->accounts.add({"account" + std::to_string(i), {}, {}}, {});
     config_ = std::move(built);
 }
 
@@ -72,6 +90,7 @@
             seed * 1000 + i, "d" + std::to_string(i % size_.replicas));
         added->budgets.started(experiment_start - seconds{60});
         added->budgets.instances(size_.instances);
+        added->profiles.resize(size_.kinds.size());
         added->sheds = features_.load_shedding;
         added->fleet.self = "i" + std::to_string(i);
         for (std::uint32_t other = 0; other < size_.instances; ++other) {
--- a/core/src/experiment/forward_experiment.cpp
+++ b/core/src/experiment/forward_experiment.cpp
@@ -40,16 +40,16 @@
            now_ < experiment_start + 2 * third;
 }
 
-double experiment::arrival_rate() const
+double experiment::arrival_rate_of(const request_kind& kind) const
 {
     if (!is_fault_active())
-        return size_.requests_per_second;
+        return kind.requests_per_second;
     switch (pattern_) {
     case load_pattern::burst:
-        return size_.requests_per_second * burst_factor;
+        return kind.requests_per_second * burst_factor;
     case load_pattern::surge:
     case load_pattern::slow_surge:
-        return size_.requests_per_second * size_.surge_factor;
+        return kind.requests_per_second * kind.surge_factor;
     case load_pattern::calm:
     case load_pattern::pauses:
     case load_pattern::slow:
@@ -57,7 +57,63 @@
     case load_pattern::lost_answers:
         break;
     }
-    return size_.requests_per_second;
+    return kind.requests_per_second;
+}
+
+double experiment::account_weight(std::size_t account) const noexcept
+{
+    return account < size_.accounts.large ? size_.accounts.large_factor : 1;
+}
+
+double experiment::current_account_weight(std::size_t account) const noexcept
+{
+    const bool busy = pattern_ == load_pattern::surge && is_fault_active() &&
+                      account + 1 == size_.accounts.accounts;
+    return account_weight(account) * (busy ? size_.accounts.busy_factor : 1);
+}
+
+double experiment::arrival_rate() const
+{
+    double rate = 0;
+    for (const auto& kind : size_.kinds)
+        rate += arrival_rate_of(kind);
+    double usual = 0;
+    double current = 0;
+    for (std::size_t i = 0; i < size_.accounts.accounts; ++i) {
+        usual += account_weight(i);
+        current += current_account_weight(i);
+    }
+    return usual > 0 ? rate * current / usual : rate;
+}
+
+std::size_t experiment::draw_kind()
+{
+    if (size_.kinds.size() == 1)
+        return 0;
+    double total = 0;
+    for (const auto& kind : size_.kinds)
+        total += arrival_rate_of(kind);
+    double left = random_.unit() * total;
+    std::size_t kind = 0;
+    while (kind + 1 < size_.kinds.size() &&
+           left >= arrival_rate_of(size_.kinds[kind]))
+        left -= arrival_rate_of(size_.kinds[kind++]);
+    return kind;
+}
+
+std::size_t experiment::draw_account()
+{
+    const std::size_t count = size_.accounts.accounts;
+    if (count == 0)
+        return 0;
+    double total = 0;
+    for (std::size_t i = 0; i < count; ++i)
+        total += current_account_weight(i);
+    double left = random_.unit() * total;
+    std::size_t account = 0;
+    while (account + 1 < count && left >= current_account_weight(account))
+        left -= current_account_weight(account++);
+    return account;
 }
 
 duration experiment::remaining_pause(const simulated_replica& replica) const
@@ -69,7 +125,8 @@
     return phase < pause_length ? duration{pause_length} - phase : duration{};
 }
 
-duration experiment::service_time(const simulated_replica& replica)
+duration
+experiment::service_time(const simulated_replica& replica, std::size_t kind)
 {
     const double spread = 0.65 + 0.7 * random_.unit();
     const double tail = random_.unit() < 0.01 ? 5 : 1;
@@ -80,7 +137,7 @@
         else if (pattern_ == load_pattern::slow_surge)
             slowness = slow_surge_factor;
     }
-    const std::chrono::duration<double> mean = size_.work;
+    const std::chrono::duration<double> mean = size_.kinds[kind].work;
     return std::chrono::duration_cast<duration>(
         mean * spread * tail * slowness);
 }
@@ -94,16 +151,26 @@
     schedule(
         now_ + std::chrono::duration_cast<duration>(gap), [this] { arrive(); });
     auto& owner = *instances_[random_.below(instances_.size())];
+    const auto kind = draw_kind();
+    const auto account = draw_account();
+    const auto& properties = size_.kinds[kind];
     const forward_times times{
         now_,
-        now_ + size_.target - milliseconds{7},
-        now_ + size_.timeout - milliseconds{12},
-        now_ + size_.timeout};
-    const auto& route = config_->routes.front();
+        now_ + properties.target - milliseconds{7},
+        now_ + properties.timeout - milliseconds{12},
+        now_ + properties.timeout};
+    const auto& route = config_->routes[kind];
     const auto request = std::make_shared<simulated_request>(simulated_request{
         &owner,
-        {config_, route, route.shards, times},
+        {config_,
+         route,
+         route.shards,
+         times,
+         config_->accounts.empty() ? nullptr
+                                   : &config_->accounts.accounts()[account]},
         now_ - experiment_start >= warm_up});
+    request->kind = kind;
+    request->account = account;
     for (auto& shard_times : request_times_)
         shard_times.push_back(now_);
     request->repeats_left = size_.caller_repeats;
@@ -115,7 +182,7 @@
 {
     auto& owner = *request->owner;
     forward_actions actions;
-    request->state.begin(owner.context(), owner.profile, now_, actions);
+    request->state.begin(owner.context(), profile_of(*request), now_, actions);
     const auto* const phase = phase_of(*request);
     if (phase == &result_.fault && !request->state.shed()) {
         const auto period = static_cast<std::size_t>(
@@ -157,6 +224,8 @@
     const auto at = request.first_arrived - experiment_start;
     if (at >= third + settling_time && at < 2 * third)
         return &result_.fault;
+    if (at >= third && at < third + settling_time)
+        return &result_.onset;
     if (at >= 2 * third + recovery_time)
         return &result_.recovery;
     return nullptr;
@@ -191,7 +260,8 @@
             return;
         forward_actions next;
         auto& owner = *request->owner;
-        request->state.on_timeout(owner.context(), owner.profile, now_, next);
+        request->state.on_timeout(
+            owner.context(), profile_of(*request), now_, next);
         carry_out(request, next);
     });
 }
@@ -255,7 +325,8 @@
     simulated_replica& replica)
 {
     ++replica.running;
-    const auto until = now_ + remaining_pause(replica) + service_time(replica);
+    const auto until =
+        now_ + remaining_pause(replica) + service_time(replica, request->kind);
     schedule(until, [this, request, attempt, &replica] {
         end_work(request, attempt, replica);
     });
@@ -300,7 +371,7 @@
             .health.on_load(load, now_);
     forward_actions actions;
     request->state.on_result(
-        attempt, outcome, owner.context(), owner.profile, now_, actions);
+        attempt, outcome, owner.context(), profile_of(*request), now_, actions);
     if (!actions.sends.empty() || actions.end)
         carry_out(request, actions);
 }
@@ -314,14 +385,35 @@
         return false;
     const auto repeated = std::make_shared<simulated_request>(simulated_request{
         instances_[random_.below(instances_.size())].get(),
-        {config_, state.route(), state.route().shards, times},
+        {config_, state.route(), state.route().shards, times, state.account()},
         request.counted,
         request.repeats_left - 1,
-        request.first_arrived});
+        request.first_arrived,
+        request.kind,
+        request.account});
     schedule(times.arrived, [this, repeated] { begin(repeated); });
     return true;
 }
 
+void experiment::count(
+    phase_result& phase,
+    const simulated_request& request,
+    forward_end end) const
+{
+    ++phase.requests;
+    const auto in_time_until =
+        request.first_arrived + size_.kinds[request.kind].target;
+    if (end == forward_end::complete || end == forward_end::partial)
+        ++(now_ <= in_time_until ? phase.in_time : phase.late);
+    else if (end != forward_end::not_run)
+        ++phase.failed;
+    else {
+        ++phase.refused;
+        phase.slowest_refusal = std::max(
+            phase.slowest_refusal, now_ - request.state.times().arrived);
+    }
+}
+
 void experiment::finish(simulated_request& request, forward_end end)
 {
     const bool unserved =
@@ -331,17 +423,14 @@
     if (!request.counted)
         return;
     if (auto* const phase = phase_of(request)) {
-        ++phase->requests;
-        if (!unserved)
-            ++(now_ <= request.first_arrived + size_.target ? phase->in_time
-                                                            : phase->late);
-        else if (end != forward_end::not_run)
-            ++phase->failed;
-        else {
-            ++phase->refused;
-            phase->slowest_refusal = std::max(
-                phase->slowest_refusal, now_ - request.state.times().arrived);
+        count(*phase, request, end);
+        if (phase == &result_.fault) {
+            count(result_.fault_by_kind[request.kind], request, end);
+            if (!config_->accounts.empty())
+                count(result_.fault_by_account[request.account], request, end);
         }
+        else if (phase == &result_.onset)
+            count(result_.onset_by_kind[request.kind], request, end);
     }
     ++result_.requests;
     const auto& state = request.state;
@@ -353,7 +442,8 @@
     }
     const double share =
         static_cast<double>(state.answered_parts()) / state.part_count();
-    const bool in_time = now_ <= request.first_arrived + size_.target;
+    const bool in_time =
+        now_ <= request.first_arrived + size_.kinds[request.kind].target;
     ++(in_time ? result_.in_time : result_.late);
     result_.partial += end == forward_end::partial ? 1 : 0;
     total_value_ += share * share * (in_time ? 1.0 : late_value);
@@ -381,6 +471,13 @@
     const auto third = size_.length / 3;
     result_.fault.length = third - settling_time;
     result_.recovery.length = third - recovery_time;
+    result_.onset.length = settling_time;
+    for (auto& each : result_.fault_by_kind)
+        each.length = result_.fault.length;
+    for (auto& each : result_.onset_by_kind)
+        each.length = settling_time;
+    for (auto& each : result_.fault_by_account)
+        each.length = result_.fault.length;
     compute_admission_spread();
     if (result_.arrivals > 0)
         result_.busiest_ratio = static_cast<double>(busiest) *
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -196,6 +196,15 @@
     return true;
 }
 
+std::optional<account_index>
+forwarded_request::account_index_in_config() const noexcept
+{
+    if (account_ == nullptr)
+        return std::nullopt;
+    return static_cast<account_index>(
+        account_ - config_->accounts.accounts().data());
+}
+
 bool forwarded_request::try_admit(
     const forward_context& context,
     const latency_profile& profile,
@@ -206,8 +215,10 @@
     shedder_ = context.shedders->of(service(0).name, parts_.size());
     const bool in_time = now + profile.median() < times_.full_value_until;
     return shedder_->try_admit(
-        in_time ? request_freshness::fresh : request_freshness::late,
-        spare_parts(),
+        {priority(),
+         in_time ? request_freshness::fresh : request_freshness::late,
+         spare_parts(),
+         account_index_in_config()},
         now);
 }
 
--- a/core/tests/load_shedder_test.cpp
+++ b/core/tests/load_shedder_test.cpp
@@ -32,6 +32,13 @@
     return now;
 }
 
+admission_request of_priority(
+    std::int32_t priority,
+    request_freshness freshness = request_freshness::fresh)
+{
+    return {priority, freshness, 0, std::nullopt};
+}
+
 /// Admitted requests of `count`.
 int admit(
     load_shedder& shedder,
@@ -41,7 +48,7 @@
 {
     int admitted = 0;
     for (int i = 0; i < count; ++i)
-        admitted += shedder.try_admit(freshness, 0, now) ? 1 : 0;
+        admitted += shedder.try_admit({0, freshness, 0, {}}, now) ? 1 : 0;
     return admitted;
 }
 
@@ -125,13 +132,62 @@
     CHECK(late > 0);
 }
 
+TEST_CASE(
+    "load shedder: a more urgent priority has no smaller share admitted, and "
+    "none starves",
+    "[load shedder][scheduling]")
+{
+    for (const auto time : {150, 300, 600, 2000}) {
+        INFO("overload of " << time << " ms");
+        load_shedder shedder{3};
+        for (const std::int32_t priority : {0, 1, 7})
+            CHECK(shedder.try_admit(of_priority(priority), start));
+        const auto now =
+            report(shedder, 0, 3, queueing, start, milliseconds{time});
+        int more_urgent = 1000;
+        for (const std::int32_t priority : {0, 1, 7}) {
+            int fresh = 0;
+            int late = 0;
+            for (int i = 0; i < 1000; ++i) {
+                fresh += shedder.try_admit(of_priority(priority), now) ? 1 : 0;
+                late += shedder.try_admit(
+                            of_priority(priority, request_freshness::late), now)
+                            ? 1
+                            : 0;
+            }
+            INFO("priority " << priority);
+            CHECK(fresh <= more_urgent);
+            CHECK(late <= fresh);
+            CHECK(late > 0);
+            // Kinds of which all requests are late must not get less than
+            // less urgent ones.
+            more_urgent = late;
+        }
+    }
+}
+
+TEST_CASE(
+    "load shedder: a less urgent priority that appears during an overload "
+    "doesn't add to it",
+    "[load shedder][scheduling]")
+{
+    load_shedder shedder{3};
+    CHECK(shedder.try_admit(of_priority(0), start));
+    const auto now = report(shedder, 0, 3, queueing, start, milliseconds{300});
+    const auto before = admit(shedder, request_freshness::fresh, 1000, now);
+    static_cast<void>(shedder.try_admit(of_priority(1), now));
+    const auto after = admit(shedder, request_freshness::fresh, 1000, now);
+    CHECK(after <= before + 1);
+    CHECK(after >= before - 1);
+}
+
 TEST_CASE(
     "load shedder: overloaded services that a request can do without don't "
     "count",
     "[load shedder]")
 {
     load_shedder shedder{20};
-    CHECK(shedder.try_admit(request_freshness::fresh, 2, start));
+    CHECK(shedder.try_admit({0, request_freshness::fresh, 2, {}}, start));
     auto now = start;
     SECTION("as many as can be left out")
     {
--- a/core/tests/load_surge_test.cpp
+++ b/core/tests/load_surge_test.cpp
@@ -127,3 +127,52 @@
         CHECK(result.fault.failed <= max_failed_share * result.fault.requests);
     }
 }
+
+namespace {
+
+/// Searches of deployment B: card histories, and the more urgent till checks.
+/// The replicas have one slot, so that the usual load is a third of what they
+/// can serve.
+experiment_size two_priorities(std::uint32_t instances)
+{
+    experiment_size size;
+    size.instances = instances;
+    size.slots = 1;
+    size.queue = 24;
+    size.kinds = {
+        {1, 79.1, milliseconds{11}, milliseconds{150}, milliseconds{1500}, 1},
+        {0, 26.4, milliseconds{4}, milliseconds{60}, milliseconds{800}, 1}};
+    return size;
+}
+
+constexpr std::array<std::uint32_t, 3> fleets{8, 79, 740};
+
+} // namespace
+
+TEST_CASE(
+    "load surge: a more urgent kind has no smaller share admitted at 4 to 12 "
+    "times the load",
+    "[load surge][scheduling]")
+{
+    for (const auto instances : fleets) {
+        for (const double factor : {4.0, 8.0, 12.0}) {
+            auto size = two_priorities(instances);
+            for (auto& kind : size.kinds)
+                kind.surge_factor = factor;
+            const auto result =
+                run_forward_experiment(load_pattern::surge, {}, 1, size);
+            const auto& history = result.fault_by_kind[0];
+            const auto& check = result.fault_by_kind[1];
+            INFO("instances " << instances << ", surge of " << factor);
+            CAPTURE(
+                history.admitted_share(),
+                history.in_time_share(),
+                check.admitted_share(),
+                check.in_time_share());
+            CHECK(history.refused > 0);
+            CHECK(check.admitted_share() >= history.admitted_share());
+            CHECK(check.in_time_share() >= history.in_time_share());
+            CHECK(history.in_time > 0);
+        }
+    }
+}
