core, ctl: experiment with replicas of changing speed, and its targets

Cause: no experiment had replicas whose speed changes within a second, so the targets for the current capacity of a replica couldn't be tested.

`peridotctl experiment` compares measurements alone, reported speeds, and a selector that knows the true state, at 8, 32, 68 and 740 instances; `--plot FILE` writes the quantiles. A simulated request whose earliest hedge has become unnecessary is woken up again for the next one, as in the gateway; so far all hedges of a request were due at once, which hid this.

--- a/core/include/peridotward/core/experiment/forward_experiment.hpp
+++ b/core/include/peridotward/core/experiment/forward_experiment.hpp
@@ -22,6 +22,9 @@
     lost_answers, ///< A fifth of the replicas cuts some answers off.
     surge,        ///< A burst of `surge_factor` times the requests.
     slow_surge,   ///< The same while half of the replicas is slow.
+    /// Replicas of different usual speeds pause, and a sixth of them, redrawn
+    /// every 600 ms, takes two and a half times as long.
+    changing_speeds,
 };
 
 template<>
@@ -36,6 +39,8 @@
         std::pair{load_pattern::lost_answers, std::string_view{"lost-answers"}},
         std::pair{load_pattern::surge, std::string_view{"surge"}},
         std::pair{load_pattern::slow_surge, std::string_view{"slow-surge"}},
+        std::pair{
+            load_pattern::changing_speeds, std::string_view{"changing-speeds"}},
     };
 };
 
@@ -46,6 +51,10 @@
     bool load_feedback = true;   ///< Replicas selected by the reported load.
     bool partial_answers = true; ///< Timely answers without the slowest parts.
     bool load_shedding = true; ///< Refusals while the replicas are overloaded.
+    bool reported_speeds = true; ///< Use of the speeds that replicas report.
+    /// Attempts go to the replica that is the fastest by its true speed, queue
+    /// and pause, which no instance can know.
+    bool true_state = false;
 
     bool operator==(const forward_features&) const = default;
 };
@@ -75,6 +84,9 @@
 struct experiment_size
 {
     std::uint32_t instances = 8;
+    /// Instances that get `busy_share` of the requests; 0: all get the same.
+    std::uint32_t busy_instances = 0;
+    double busy_share = 0.9;
     std::uint32_t shards = 10;
     std::uint32_t replicas = 3; ///< Per shard, one in each failure domain.
     std::uint32_t slots = 2;    ///< Per replica.
@@ -150,6 +162,29 @@
     /// relative to the mean.
     double max_admitted = 0;
     double min_admitted = 0;
+    /// From arrival to answer, sorted; a request without an answer counts with
+    /// its timeout.
+    std::vector<duration> latencies;
+    std::uint64_t parts = 0;         ///< Of all answers.
+    std::uint64_t omitted_parts = 0; ///< Of these, left out.
+
+    /// \returns The `share` quantile of the latencies, `share` in [0, 1].
+    [[nodiscard]] duration latency(double share) const;
+    /// \returns Share of the parts that answers left out.
+    [[nodiscard]] double omitted_share() const noexcept
+    {
+        return parts > 0 ? static_cast<double>(omitted_parts) /
+                               static_cast<double>(parts)
+                         : 0;
+    }
+    /// \returns Extra attempts for each first attempt.
+    [[nodiscard]] double extra_share() const noexcept
+    {
+        return arrivals > extra_attempts
+                   ? extra_attempts /
+                         static_cast<double>(arrivals - extra_attempts)
+                   : 0;
+    }
 };
 
 /// \brief Simulates `pattern` in virtual time with the modules for routing,
@@ -163,4 +198,9 @@
     std::uint64_t seed,
     const experiment_size& size = {});
 
+/// \returns The deployment that `load_pattern::changing_speeds` is about:
+/// searches over 90 shards at `instances` instances, of which at most six get
+/// most of the searches.
+[[nodiscard]] experiment_size uneven_deployment(std::uint32_t instances);
+
 } // namespace peridotward
--- a/core/src/experiment/experiment.hpp
+++ b/core/src/experiment/experiment.hpp
@@ -30,6 +30,8 @@
     std::vector<std::function<void()>> waiting;
     std::uint32_t arrivals = 0;
     duration pause_offset{};
+    double usual_slowness = 1;
+    double momentary_slowness = 1;
 };
 
 struct simulated_instance
@@ -66,6 +68,7 @@
     time_point first_arrived{};
     std::size_t kind = 0;
     std::size_t account = 0;
+    time_point wakeup{}; ///< The timeout that was scheduled last.
 };
 
 /// \brief Discrete-event simulation of one load pattern over instances and
@@ -103,6 +106,8 @@
     void build_config();
     void build_instances(std::uint64_t seed);
     void arrive();
+    /// \brief Schedules the request's next timeout.
+    void wake_up(const request_ptr& request);
     void carry_out(const request_ptr& request, forward_actions& actions);
     void send(const request_ptr& request, const forward_send& sent);
     void receive(
@@ -119,6 +124,20 @@
         forward_outcome outcome,
         reported_load load);
     void begin(const request_ptr& request);
+    /// \brief Redraws the replicas that are in a slow moment.
+    void redraw_speeds();
+    /// \brief Leaves the fastest replica of each part that has no answer as
+    /// the only one that can be chosen, if instances know the true state.
+    void reveal_state(const request_ptr& request);
+    /// \returns Expected time to an answer of a request that is sent now.
+    [[nodiscard]] duration true_latency(const simulated_replica& replica) const;
+    /// \returns The speed in a replica's report; 0 for none.
+    [[nodiscard]] std::uint32_t
+    reported_speed(const simulated_replica& replica) const;
+    [[nodiscard]] simulated_instance& draw_instance();
+    /// \returns When work that begins now ends, pauses included.
+    [[nodiscard]] time_point
+    end_of_work(const simulated_replica& replica, duration work) const;
     /// \brief Has an instance pass load reports on, now and from then on.
     void exchange_loads(std::size_t instance);
     void finish(simulated_request& request, forward_end end);
--- a/core/src/experiment/experiment_setup.cpp
+++ b/core/src/experiment/experiment_setup.cpp
@@ -1,5 +1,8 @@
 #include "experiment.hpp"
 
+#include <algorithm>
+#include <array>
+
 namespace peridotward {
 
 namespace {
@@ -9,6 +12,8 @@
 constexpr double shedding_share = 0.5;
 constexpr double losing_share = 0.2;
 constexpr double slow_surge_share = 0.5;
+/// Durations of work at replicas of different usual speeds.
+constexpr std::array usual_slownesses{0.8, 1.0, 1.3};
 
 } // namespace
 
@@ -55,12 +60,37 @@
                  random_.below(size.replicas)]
                     .faulty = false;
     }
+    if (pattern == load_pattern::changing_speeds) {
+        for (auto& each : replicas_)
+            each.usual_slowness =
+                usual_slownesses.at(random_.below(usual_slownesses.size()));
+    }
     build_instances(seed);
 }
 
+experiment_size uneven_deployment(std::uint32_t instances)
+{
+    constexpr std::uint32_t max_busy_instances = 6;
+    experiment_size size;
+    size.instances = instances;
+    size.busy_instances = std::min(max_busy_instances, instances / 4);
+    size.shards = 90;
+    size.slots = 4;
+    size.queue = 24;
+    size.requests_per_second = 90;
+    size.work = milliseconds{11};
+    size.target = milliseconds{150};
+    size.timeout = milliseconds{1000};
+    size.length = seconds{20};
+    return size;
+}
+
 void experiment::build_config()
 {
     auto built = std::make_shared<forward_config>();
+    const bool changing = pattern_ == load_pattern::changing_speeds;
+    const std::uint32_t max_attempts = changing ? size_.replicas : 2;
+    const double min_part_share = changing ? 0.95 : 0.89;
     std::vector<forward_service_index> shards;
     for (std::uint32_t shard = 0; shard < size_.shards; ++shard) {
         built->services.push_back({"s" + std::to_string(shard), "/", 0, {}, 0});
@@ -72,9 +102,10 @@
         route.timeout = kind.timeout;
         route.target_latency = kind.target;
         route.priority = kind.priority;
-        route.max_attempts = features_.extra_attempts ? 2 : 1;
+        route.max_attempts = features_.extra_attempts ? max_attempts : 1;
         route.top_records = 10;
-        route.min_shard_share = features_.partial_answers ? 0.89 : 1.0;
+        route.min_shard_share =
+            features_.partial_answers ? min_part_share : 1.0;
         route.shards = shards;
         built->routes.push_back(std::move(route));
     }
--- a/core/src/experiment/forward_experiment.cpp
+++ b/core/src/experiment/forward_experiment.cpp
@@ -30,6 +30,11 @@
 constexpr double shed_probability = 0.6;
 /// Probability that a faulty replica cuts an answer off.
 constexpr double loss_probability = 0.2;
+/// Slow moments in `load_pattern::changing_speeds`.
+constexpr milliseconds redraw_interval{600};
+constexpr double slow_moment_share = 1.0 / 6;
+constexpr double slow_moment_factor = 2.5;
+constexpr double usual_speed = 100; ///< As replicas report it.
 
 } // namespace
 
@@ -55,6 +60,7 @@
     case load_pattern::slow:
     case load_pattern::shedding:
     case load_pattern::lost_answers:
+    case load_pattern::changing_speeds:
         break;
     }
     return kind.requests_per_second;
@@ -118,7 +124,8 @@
 
 duration experiment::remaining_pause(const simulated_replica& replica) const
 {
-    if (pattern_ != load_pattern::pauses)
+    if (pattern_ != load_pattern::pauses &&
+        pattern_ != load_pattern::changing_speeds)
         return {};
     const auto phase = (now_ - experiment_start + replica.pause_offset) %
                        duration{pause_interval};
@@ -130,7 +137,7 @@
 {
     const double spread = 0.65 + 0.7 * random_.unit();
     const double tail = random_.unit() < 0.01 ? 5 : 1;
-    double slowness = 1;
+    double slowness = replica.usual_slowness * replica.momentary_slowness;
     if (replica.faulty && is_fault_active()) {
         if (pattern_ == load_pattern::slow)
             slowness = slow_factor;
@@ -142,6 +149,90 @@
         mean * spread * tail * slowness);
 }
 
+simulated_instance& experiment::draw_instance()
+{
+    const auto count = instances_.size();
+    const std::size_t busy = size_.busy_instances;
+    if (busy == 0 || busy >= count)
+        return *instances_[random_.below(count)];
+    return *instances_
+        [random_.unit() < size_.busy_share
+             ? random_.below(busy)
+             : busy + random_.below(count - busy)];
+}
+
+void experiment::redraw_speeds()
+{
+    if (now_ - experiment_start >= size_.length)
+        return;
+    for (auto& each : replicas_)
+        each.momentary_slowness =
+            random_.unit() < slow_moment_share ? slow_moment_factor : 1;
+    schedule(now_ + redraw_interval, [this] { redraw_speeds(); });
+}
+
+duration experiment::true_latency(const simulated_replica& replica) const
+{
+    const std::chrono::duration<double> work = size_.work;
+    const double rounds =
+        replica.running < size_.slots
+            ? 1
+            : 1 + (static_cast<double>(replica.waiting.size()) + 1) /
+                      size_.slots;
+    return remaining_pause(replica) +
+           std::chrono::duration_cast<duration>(
+               work * rounds * replica.usual_slowness *
+               replica.momentary_slowness);
+}
+
+void experiment::reveal_state(const request_ptr& request)
+{
+    if (!features_.true_state)
+        return;
+    const auto& state = request->state;
+    std::vector<bool> tried(replicas_.size());
+    for (std::uint32_t i = 0; i < state.attempts(); ++i)
+        tried[state.replica_of(i)] = true;
+    auto& catalog = request->owner->catalog;
+    for (std::uint32_t part = 0; part < size_.shards; ++part) {
+        std::optional<replica_number> best;
+        for (const auto number :
+             catalog.of_service(config_->services[part].name)) {
+            if (!tried[number] && (!best || true_latency(replicas_[number]) <
+                                                true_latency(replicas_[*best])))
+                best = number;
+        }
+        for (const auto number :
+             catalog.of_service(config_->services[part].name)) {
+            if (number != best)
+                catalog.at(number).health.pause_until(now_ + duration{1});
+        }
+    }
+}
+
+time_point
+experiment::end_of_work(const simulated_replica& replica, duration work) const
+{
+    auto end = now_ + remaining_pause(replica) + work;
+    if (pattern_ != load_pattern::changing_speeds)
+        return end;
+    // Work that is in progress at the start of a pause stops for its length.
+    const auto begun = now_ + remaining_pause(replica) - experiment_start +
+                       replica.pause_offset;
+    const duration interval = pause_interval;
+    const auto pauses =
+        (end - experiment_start + replica.pause_offset) / interval -
+        begun / interval;
+    return end + pauses * duration{pause_length};
+}
+
+std::uint32_t experiment::reported_speed(const simulated_replica& replica) const
+{
+    if (pattern_ != load_pattern::changing_speeds || !features_.reported_speeds)
+        return 0;
+    return static_cast<std::uint32_t>(usual_speed * replica.momentary_slowness);
+}
+
 void experiment::arrive()
 {
     if (now_ - experiment_start >= size_.length)
@@ -150,7 +241,7 @@
         (0.2 + 1.6 * random_.unit()) / arrival_rate()};
     schedule(
         now_ + std::chrono::duration_cast<duration>(gap), [this] { arrive(); });
-    auto& owner = *instances_[random_.below(instances_.size())];
+    auto& owner = draw_instance();
     const auto kind = draw_kind();
     const auto account = draw_account();
     const auto& properties = size_.kinds[kind];
@@ -182,6 +273,7 @@
 {
     auto& owner = *request->owner;
     forward_actions actions;
+    reveal_state(request);
     request->state.begin(owner.context(), profile_of(*request), now_, actions);
     const auto* const phase = phase_of(*request);
     if (phase == &result_.fault && !request->state.shed()) {
@@ -252,14 +344,27 @@
         finish(*request, *actions.end);
         return;
     }
+    wake_up(request);
+}
+
+void experiment::wake_up(const request_ptr& request)
+{
     if (request->state.ended())
         return;
     const auto due = std::max(request->state.next_wakeup(), now_);
+    request->wakeup = due;
     schedule(due, [this, request, due] {
-        if (request->state.ended() || request->state.next_wakeup() > due)
+        if (request->state.ended())
             return;
+        // The part that was due first may have been answered.
+        if (request->state.next_wakeup() > due) {
+            if (request->wakeup == due)
+                wake_up(request);
+            return;
+        }
         forward_actions next;
         auto& owner = *request->owner;
+        reveal_state(request);
         request->state.on_timeout(
             owner.context(), profile_of(*request), now_, next);
         carry_out(request, next);
@@ -305,7 +410,8 @@
                        is_fault_active() && random_.unit() < shed_probability;
     if (sheds || replica.waiting.size() >= size_.queue) {
         ++result_.rejected;
-        const reported_load load{replica.running, 0, size_.slots};
+        const reported_load load{
+            replica.running, 0, size_.slots, reported_speed(replica)};
         schedule(now_ + network_delay, [this, request, attempt, load] {
             on_result(request, attempt, forward_outcome::refused, load);
         });
@@ -326,7 +432,7 @@
 {
     ++replica.running;
     const auto until =
-        now_ + remaining_pause(replica) + service_time(replica, request->kind);
+        end_of_work(replica, service_time(replica, request->kind));
     schedule(until, [this, request, attempt, &replica] {
         end_work(request, attempt, replica);
     });
@@ -343,7 +449,8 @@
     const reported_load load{
         replica.running,
         static_cast<std::uint32_t>(replica.waiting.size()),
-        size_.slots};
+        size_.slots,
+        reported_speed(replica)};
     --replica.running;
     schedule(now_ + network_delay, [this, request, attempt, lost, load] {
         on_result(
@@ -434,6 +541,8 @@
     }
     ++result_.requests;
     const auto& state = request.state;
+    result_.latencies.push_back(
+        unserved ? duration{size_.timeout} : now_ - request.first_arrived);
     const bool success =
         end == forward_end::complete || end == forward_end::partial;
     if (!success) {
@@ -445,6 +554,8 @@
     const bool in_time =
         now_ <= request.first_arrived + size_.kinds[request.kind].target;
     ++(in_time ? result_.in_time : result_.late);
+    result_.parts += state.part_count();
+    result_.omitted_parts += state.part_count() - state.answered_parts();
     result_.partial += end == forward_end::partial ? 1 : 0;
     total_value_ += share * share * (in_time ? 1.0 : late_value);
 }
@@ -452,6 +563,8 @@
 experiment_result experiment::run()
 {
     schedule(experiment_start, [this] { arrive(); });
+    if (pattern_ == load_pattern::changing_speeds)
+        schedule(experiment_start, [this] { redraw_speeds(); });
     for (std::size_t i = 0; i < instances_.size(); ++i) {
         const auto offset = random_.below(static_cast<std::uint64_t>(
             duration{load_shedder::adjust_interval}.count()));
@@ -465,6 +578,7 @@
         now_ = next.at;
         next.action();
     }
+    std::sort(result_.latencies.begin(), result_.latencies.end());
     std::uint32_t busiest = 0;
     for (const auto& replica : replicas_)
         busiest = std::max(busiest, replica.arrivals);
@@ -488,6 +602,15 @@
     return result_;
 }
 
+duration experiment_result::latency(double share) const
+{
+    if (latencies.empty())
+        return {};
+    const auto position =
+        static_cast<std::size_t>(share * static_cast<double>(latencies.size()));
+    return latencies[std::min(position, latencies.size() - 1)];
+}
+
 experiment_result run_forward_experiment(
     load_pattern pattern,
     const forward_features& features,
--- a/ctl/src/experiment_verb.cpp
+++ b/ctl/src/experiment_verb.cpp
@@ -5,7 +5,11 @@
 
 #include <array>
 #include <cstdio>
+#include <fstream>
 #include <iostream>
+#include <string>
+#include <string_view>
+#include <utility>
 
 namespace peridotward::ctl {
 
@@ -13,19 +17,27 @@
 
 constexpr std::string_view usage =
     "usage: peridotctl experiment [--pattern NAME] [--seed N] [--rate N]\n"
-    "           [--surge FACTOR] [--without "
-    "repeats|told-load|partial|shedding]\n"
+    "           [--surge FACTOR] [--plot FILE]\n"
+    "           [--without "
+    "repeats|told-load|partial|shedding|reported-speeds]\n"
     "\n"
     "Simulates a load on the gateway's decision logic in virtual time and\n"
     "prints the results of callers and replicas, with and without a feature.\n"
     "\n"
     "  --pattern NAME  calm, pauses, slow, burst, shedding, lost-answers, "
     "surge,\n"
-    "                  slow-surge; all of them if left out\n"
+    "                  slow-surge, changing-speeds; all of them if left out\n"
+    "                  (changing-speeds compares the selection with and "
+    "without\n"
+    "                  reported speeds and by the true state, at 8 to 740\n"
+    "                  instances; --rate and --without don't apply)\n"
     "  --seed N        seed of the simulation (1)\n"
     "  --rate N        searches per second (180)\n"
     "  --surge FACTOR  searches in a surge, relative to before; without it,\n"
     "                  surges of 1 to 12 times are played one after the other\n"
+    "  --plot FILE     writes the latency quantiles of changing-speeds to "
+    "FILE,\n"
+    "                  one line each: instances, policy, quantile, ms\n"
     "  --without WHAT  the feature that is off in the second line of each\n"
     "                  pattern (repeats)\n";
 
@@ -67,11 +79,62 @@
         feature_set.partial_answers = false;
     else if (feature == "shedding")
         feature_set.load_shedding = false;
+    else if (feature == "reported-speeds")
+        feature_set.reported_speeds = false;
     else
         return false;
     return true;
 }
 
+double to_ms(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// Simulates `load_pattern::changing_speeds` under each policy and prints a
+/// table.
+/// \param plot Gets the latency quantiles, unless null.
+void compare_selections(std::uint64_t seed, std::ostream* plot)
+{
+    constexpr std::array fleet_sizes{8U, 32U, 68U, 740U};
+    constexpr int plot_steps = 1000;
+    forward_features measured;
+    measured.reported_speeds = false;
+    forward_features informed;
+    informed.true_state = true;
+    informed.reported_speeds = false;
+    const std::array policies{
+        std::pair{std::string_view{"measured-only"}, measured},
+        std::pair{std::string_view{"reported-speeds"}, forward_features{}},
+        std::pair{std::string_view{"true-state"}, informed}};
+    std::printf(
+        "instances  policy             p50 ms  p90 ms  p99 ms  extra %%  "
+        "omitted %%\n");
+    for (const auto instances : fleet_sizes) {
+        for (const auto& [name, features] : policies) {
+            const auto result = run_forward_experiment(
+                load_pattern::changing_speeds,
+                features,
+                seed,
+                uneven_deployment(instances));
+            std::printf(
+                "%9u  %-16s  %7.1f %7.1f %7.1f  %7.2f  %9.4f\n",
+                instances,
+                std::string{name}.c_str(),
+                to_ms(result.latency(0.5)),
+                to_ms(result.latency(0.9)),
+                to_ms(result.latency(0.99)),
+                100 * result.extra_share(),
+                100 * result.omitted_share());
+            for (int step = 0; plot != nullptr && step < plot_steps; ++step) {
+                const double share = static_cast<double>(step) / plot_steps;
+                *plot << instances << ' ' << name << ' ' << share << ' '
+                      << to_ms(result.latency(share)) << '\n';
+            }
+        }
+    }
+}
+
 bool is_surge(load_pattern pattern)
 {
     return pattern == load_pattern::surge ||
@@ -117,7 +180,8 @@
          {"seed", true},
          {"rate", true},
          {"surge", true},
-         {"without", true}},
+         {"without", true},
+         {"plot", true}},
         usage);
     if (!parsed)
         return help_requested() ? exit_code::done : exit_code::usage;
@@ -135,12 +199,25 @@
         std::cerr << usage;
         return exit_code::usage;
     }
+    const auto plot_file = parsed->text("plot", "");
+    std::ofstream plot;
+    if (!plot_file.empty()) {
+        plot.open(plot_file);
+        if (!plot) {
+            std::cerr << "plot file " << plot_file << " can't be written\n";
+            return exit_code::usage;
+        }
+    }
     experiment_size size;
     size.requests_per_second = *rate;
     for (const auto& [entry, name] : name_table<load_pattern>::entries) {
         if (pattern && entry != *pattern)
             continue;
         const auto number = static_cast<std::uint64_t>(*seed);
+        if (entry == load_pattern::changing_speeds) {
+            compare_selections(number, plot.is_open() ? &plot : nullptr);
+            continue;
+        }
         if (is_surge(entry)) {
             for (const double factor : surge_factors) {
                 if (*surge > 0 && factor != surge_factors.front())
