gateway: an instance that shuts down keeps its share of the connections

What callers saw: during a planned stop short requests waited for seconds, were refused or ended without an answer, though the upstreams had free slots. Cause: an instance that leaves is no longer published, and connection_share::of() gave such an instance one connection to each upstream. A few long requests held all of them, and the others waited behind these until the process ended. Change: the share of an instance stays as it was when it was last published, and all instances count those that shut down among the senders, so that the sum over the fleet stays within the limit of the upstreams. Result: store_fleet_tests 'planned stop: requests that fit into the grace time are served' (virtual time, 150 callers, work of 40 to 2650 ms over 6 x 100 slots) failed before, with requests refused from 480 ms after the signal on, and passes now.

--- a/gateway/include/peridotward/gateway/gateway.hpp
+++ b/gateway/include/peridotward/gateway/gateway.hpp
@@ -62,6 +62,9 @@
     /// \brief Begins the graceful shutdown; the reactor stops at its end.
     void stop();
 
+    /// \returns Whether the shutdown has ended: the process may exit.
+    [[nodiscard]] bool stopped() const noexcept;
+
     /// \brief Applies changed settings if none of the changes needs a restart;
     /// logs the names of the changed settings, or why `loaded` was rejected.
     void reload(const result<gateway_settings>& loaded);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -81,6 +81,8 @@
     reactor_timer timer;
     std::uint32_t max_capacity = 0; ///< The greatest seen in the fleet.
     bool has_upstreams = false;
+    bool stopped = false;
+    bool sends = false; ///< Whether the directory listed this instance last.
     std::optional<time_point> stop_time;
     std::optional<time_point> idle_close_time;
 };
@@ -100,11 +102,18 @@
     if (stop_time)
         fleet.leaving.push_back(peers.members().self().id);
     const auto listed = instances.select("");
-    fleet.senders = static_cast<std::uint32_t>(listed.size());
-    fleet.sends = std::any_of(
-        listed.begin(), listed.end(), [&](const instance_candidate& instance) {
-            return instance.callers == settings.listen.callers;
-        });
+    if (!stop_time)
+        sends = std::any_of(
+            listed.begin(),
+            listed.end(),
+            [&](const instance_candidate& instance) {
+                return instance.callers == settings.listen.callers;
+            });
+    // Instances that shut down serve callers with older directory answers until
+    // they exit, and need their share of the connections for that.
+    fleet.senders =
+        static_cast<std::uint32_t>(listed.size() + fleet.leaving.size());
+    fleet.sends = sends;
     set_weights(fleet);
     forwarding.set_fleet(std::move(fleet));
 }
@@ -174,6 +183,7 @@
             event_severity::notable,
             "stopped",
             {{"after", elapsed}, {"open", callers_listener.busy()}});
+        stopped = true;
         loop->stop();
     }
 }
@@ -249,6 +259,11 @@
     impl.peers.leave();
 }
 
+bool gateway::stopped() const noexcept
+{
+    return impl_->stopped;
+}
+
 void gateway::reload(const result<gateway_settings>& loaded)
 {
     auto& impl = *impl_;
