gateway: no request is cut at the end of a planned stop

Cause: requests were taken without regard to the time that was left, and the process exited 0.4 s before the end of the grace time with whatever was open. Change: core/admission/shutdown_schedule says which requests still fit. One that doesn't is refused at once with 503, and Alt-Svc names instances that serve it. The deadlines of open and relayed requests are moved before the exit, so that they end with an answer.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -143,6 +143,9 @@
     /// it. If it hasn't, the request ends. Called before `begin`.
     void limit_to_trial() noexcept { trial_ = true; }
 
+    /// \brief Replaces the deadlines, by earlier ones, while the request runs.
+    void limit_times(const forward_times& times) noexcept { times_ = times; }
+
     /// \brief Starts the first attempt of each part, or of one in a trial. The
     /// request ends with `not_run` when too few parts have an available
     /// replica, or when the upstreams are overloaded.
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -4,6 +4,7 @@
 #include <peridotward/core/accounts/authentication.hpp>
 #include <peridotward/core/admission/load_report_exchange.hpp>
 #include <peridotward/core/admission/retry_schedule.hpp>
+#include <peridotward/core/admission/shutdown_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
 #include <peridotward/core/membership/relay_targets.hpp>
 #include <peridotward/core/placement/rate_share_exchange.hpp>
@@ -46,6 +47,11 @@
     /// Reason of refusals while the upstreams are overloaded.
     static constexpr std::string_view overloaded =
         "not run: the upstreams are overloaded";
+    /// Reason of refusals of requests that don't fit into the shutdown.
+    static constexpr std::string_view stopping =
+        "not run: the instance is shutting down";
+    /// Other instances that a refusal during the shutdown names.
+    static constexpr std::size_t max_alternatives = 3;
     /// Reason of refusals while no upstream can be reached.
     static constexpr std::string_view no_upstream =
         "not run: no upstream can be reached";
@@ -62,7 +68,10 @@
     void on_request(http_session& session) override;
     void on_caller_disconnect(http_session& session) override;
     [[nodiscard]] caller_limits limits() const override;
-    [[nodiscard]] bool closing() const override { return closing_; }
+    [[nodiscard]] bool closing() const override
+    {
+        return shutdown_.has_value();
+    }
 
     /// \brief Replaces the current configuration if `config` has a higher
     /// version.
@@ -80,6 +89,10 @@
     /// Returns the instances that may serve requests in place of this one.
     std::function<std::vector<instance_candidate>()> relay_candidates;
 
+    /// Returns the instances that the directory lists for callers of this
+    /// instance's failure domain, at most `max_alternatives`.
+    std::function<std::vector<instance_candidate>()> alternatives;
+
     /// \returns Whether other instances serve the requests of this one, which
     /// reaches no upstream; the directory should list only them.
     [[nodiscard]] bool replaced() const noexcept { return replaced_; }
@@ -90,8 +103,10 @@
     /// settings.
     void apply_settings();
 
-    /// \brief From now on closes callers' connections after each answer.
-    void begin_closing() noexcept { closing_ = true; }
+    /// \brief From now on closes callers' connections after each answer, ends
+    /// open requests by the end of `schedule`, and refuses those that don't fit
+    /// into it.
+    void begin_shutdown(const shutdown_schedule& schedule);
 
     /// \brief Closes overdue connections and removes expired replicas; called
     /// periodically.
@@ -186,6 +201,9 @@
     /// that was admitted to `route` of an earlier one.
     [[nodiscard]] authentication authenticate_again(
         const http_session& session, const forward_route& route) const;
+    /// \brief Refuses a request that doesn't fit into the shutdown, and names
+    /// instances that serve it.
+    void refuse_stopping(http_session& session);
     /// \brief Refuses a request without a key that its route accepts.
     void refuse_unauthenticated(
         http_session& session, authentication_outcome outcome);
@@ -239,7 +257,7 @@
     /// By set of services that is overloaded: when to log it again.
     std::unordered_map<std::string, time_point> next_shedding_log_;
     std::size_t open_requests_ = 0;
-    bool closing_ = false;
+    std::optional<shutdown_schedule> shutdown_;
     bool contact_lost_ = false; ///< As logged.
     bool replaced_ = false;
     time_point next_probe_;
--- a/gateway/include/peridotward/gateway/request_state.hpp
+++ b/gateway/include/peridotward/gateway/request_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <peridotward/core/admission/shutdown_schedule.hpp>
+
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
@@ -33,6 +35,10 @@
     /// \brief Called when credits of an account, or the answer that there are
     /// none, have arrived for requests that wait for them.
     virtual void on_credits(std::string_view) {}
+
+    /// \brief Called when this instance begins to shut down; the request must
+    /// be answered by the end of the schedule.
+    virtual void on_shutdown(const shutdown_schedule&) {}
 };
 
 } // namespace peridotward
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -443,6 +443,14 @@
         *std::exchange(session_, nullptr), renewed.outcome);
 }
 
+void forward_operation::on_shutdown(const shutdown_schedule& schedule)
+{
+    if (request_.ended())
+        return;
+    request_.limit_times(schedule.limit(request_.times()));
+    owner_->loop_->arm(timer_, request_.next_wakeup());
+}
+
 void forward_operation::abandon()
 {
     const boost::intrusive_ptr<forward_operation> guard{this};
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -34,6 +34,8 @@
     /// sent.
     void on_config_changed() override;
 
+    void on_shutdown(const shutdown_schedule& schedule) override;
+
 private:
     struct failed_answer
     {
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -388,7 +388,15 @@
     if (stated_time_left)
         caller.time_left = *stated_time_left;
     caller.round_trip = session.round_trip();
-    const auto times = request_deadlines_[route->name].compute(*route, caller);
+    auto times = request_deadlines_[route->name].compute(*route, caller);
+    if (shutdown_) {
+        if (!shutdown_->fits(
+                times, route->safety, profiles_[route->name], loop_->now())) {
+            refuse_stopping(session);
+            return;
+        }
+        times = shutdown_->limit(times);
+    }
     if (pool_.contact().lost()) {
         if (request.fields.find(names_->relayed))
             refuse_unreachable(session, no_upstream, relayed_cut_off);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -16,11 +16,6 @@
 
 /// Period of `check`: timeouts, expired replicas, load measurement.
 constexpr milliseconds check_interval{100};
-/// Time between the stop signal and the closing of idle connections; callers
-/// have fetched a new directory answer by then.
-constexpr milliseconds idle_close_delay{3300};
-/// Part of the grace time that is reserved for the exit of the process.
-constexpr milliseconds exit_reserve{400};
 /// Min time between closing the listener and stopping.
 constexpr milliseconds min_drain_time{300};
 
@@ -84,6 +79,7 @@
     bool stopped = false;
     bool sends = false; ///< Whether the directory listed this instance last.
     std::optional<time_point> stop_time;
+    std::optional<shutdown_schedule> shutdown;
     std::optional<time_point> idle_close_time;
 };
 
@@ -167,7 +163,7 @@
     if (!stop_time)
         return;
     const auto elapsed = now - *stop_time;
-    if (elapsed >= idle_close_delay) {
+    if (now >= shutdown->close_idle_at()) {
         if (!idle_close_time) {
             idle_close_time = now;
             callers_listener.close();
@@ -177,7 +173,7 @@
     const bool drained = idle_close_time &&
                          now - *idle_close_time >= min_drain_time &&
                          callers_listener.busy() == 0;
-    if (drained || elapsed >= settings.shutdown_grace - exit_reserve) {
+    if (drained || now >= shutdown->exit_by()) {
         log->write(
             now,
             event_severity::notable,
@@ -233,6 +229,12 @@
             leaving.begin(), leaving.end(), std::back_inserter(candidates));
         return candidates;
     };
+    impl.forwarding.alternatives = [this] {
+        return directory_selector::select(
+            impl_->peers.serving(),
+            impl_->settings.domain,
+            forwarder::max_alternatives);
+    };
     impl.peers.on_change = [this] { impl_->on_members_changed(); };
     return impl.callers_listener.open(listen.callers)
         .and_then([&] { return impl.ready_listener.open(listen.ready); })
@@ -255,7 +257,8 @@
         event_severity::notable,
         "stopping",
         {{"open", impl.forwarding.open_requests()}});
-    impl.forwarding.begin_closing();
+    impl.shutdown.emplace(*impl.stop_time, impl.settings.shutdown_grace);
+    impl.forwarding.begin_shutdown(*impl.shutdown);
     impl.peers.leave();
 }
 
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -275,6 +275,14 @@
     end(0);
 }
 
+void relay_operation::on_shutdown(const shutdown_schedule& schedule)
+{
+    times_ = schedule.limit(times_);
+    if (timer_.armed())
+        owner_->loop_->arm(
+            timer_, std::min(timer_.due(), times_.answer_deadline));
+}
+
 void relay_operation::on_config_changed()
 {
     if (session_ == nullptr || connected_)
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -37,6 +37,8 @@
     /// another instance.
     void on_config_changed() override;
 
+    void on_shutdown(const shutdown_schedule& schedule) override;
+
 private:
     void on_events(std::uint32_t events) override;
     void on_timeout();
