soak: requests at any moment of a planned stop

Cause: the soak's callers send every few milliseconds, so that nothing idle is left at a stop, their requests last milliseconds, and other faults excuse most stops. It did not find the requests that were cut. A request that crosses the close of its idle connection is told apart by the rule's words (not run, over within 200 ms).

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -1,3 +1,4 @@
+#include "late_requests.hpp"
 #include "soak_environment.hpp"
 
 #include <algorithm>
@@ -93,7 +94,11 @@
 
 void soak_environment::stop_instance(random_source& random)
 {
-    const int instance = random_instance(random);
+    restart_by_signal(random_instance(random), random);
+}
+
+void soak_environment::restart_by_signal(int instance, random_source& random)
+{
     const auto from = steady::now();
     fleet_->signal(instance, SIGTERM);
     if (random.below(3) == 0)
@@ -114,6 +119,28 @@
     record_disturbance_since(instance, started, disturbance_kind::restarted);
 }
 
+void soak_environment::stop_with_late_requests(random_source& random)
+{
+    int instance = 0;
+    {
+        // Other stops overlap with this one, of other instances.
+        const std::lock_guard lock{stops_mutex_};
+        do
+            instance = random_instance(random);
+        while (stopping_.contains(instance));
+        stopping_.insert(instance);
+    }
+    // The start of an instance excuses what follows it for a while.
+    std::this_thread::sleep_for(invariant_checker::recovery_allowance);
+    late_requests requests{checker_, *fleet_, instance, random};
+    sleep_random(random, milliseconds{500}, 3000);
+    requests.start(steady::now());
+    restart_by_signal(instance, random);
+    requests.wait();
+    const std::lock_guard lock{stops_mutex_};
+    stopping_.erase(instance);
+}
+
 void soak_environment::evacuate(random_source& random)
 {
     const auto domain =
@@ -444,6 +471,46 @@
     return {{"cut off", [&](auto& random) { cut_from_replicas(random); }}};
 }
 
+std::vector<fault_kind> soak_environment::stop_faults()
+{
+    return {{"late requests", [&](auto& random) {
+                 stop_with_late_requests(random);
+             }}};
+}
+
+std::vector<std::vector<fault_kind>>
+soak_environment::series_of(std::uint64_t seed)
+{
+    std::vector<std::vector<fault_kind>> mixed{
+        process_faults(),
+        environment_faults(),
+        store_faults(),
+        notice_faults(),
+        rate_faults(),
+        crash_faults(),
+        cut_faults()};
+    if (options_->series == soak_series::base)
+        return mixed;
+    constexpr std::uint64_t profiles = 2;
+    switch (seed % profiles) {
+    case 0: {
+        // Planned work alone: most other faults excuse requests that are cut.
+        const fault_kind config{
+            "config", [&](auto& random) { change_config(random); }};
+        return {
+            stop_faults(),
+            stop_faults(),
+            {config, {"reload", [&](auto& random) {
+                          fleet_->signal(random_instance(random), SIGHUP);
+                          sleep_random(random, milliseconds{500}, 1500);
+                      }}}};
+    }
+    default:
+        mixed.front().push_back(stop_faults().front());
+        return mixed;
+    }
+}
+
 void soak_environment::inject_faults(
     steady::time_point until,
     const std::vector<fault_kind>& kinds,
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -300,6 +300,9 @@
 void invariant_checker::check_planned_stops(
     std::vector<std::string>& violations) const
 {
+    std::set<std::string> executed;
+    for (const auto& execution : executions_)
+        executed.insert(execution.id);
     for (const auto& span : disturbances_) {
         if (span.kind != disturbance_kind::planned_stop)
             continue;
@@ -308,7 +311,14 @@
                 record.instance == span.instance &&
                 record.sent >= span.from - milliseconds{50} &&
                 record.sent <= span.until;
-            const bool cut = record.status == 0 && !record.refused_to_connect;
+            const bool crossed = record.on_idle_connection &&
+                                 !executed.contains(record.id) &&
+                                 record.ended - record.sent <= crossing_time;
+            const bool cut =
+                record.status == 0 && !record.refused_to_connect && !crossed;
+            const bool refused_late =
+                record.on_idle_connection && record.status == 503 &&
+                record.ended - record.sent > refusal_bound;
             const bool otherwise_disturbed = std::any_of(
                 disturbances_.begin(),
                 disturbances_.end(),
@@ -319,8 +329,18 @@
                            other.from <= record.ended &&
                            record.sent <= other.until + recovery_allowance;
                 });
-            if (sent_during_stop && cut && !otherwise_disturbed)
-                violations.push_back("cut by a planned stop: " + record.id);
+            if (!sent_during_stop || otherwise_disturbed)
+                continue;
+            const auto described =
+                record.id + record.path + ", sent " +
+                milliseconds_text(record.sent - span.from) +
+                " after the signal, ended after " +
+                milliseconds_text(record.ended - record.sent);
+            if (cut)
+                violations.push_back("cut by a planned stop: " + described);
+            if (refused_late)
+                violations.push_back(
+                    "refused late in a planned stop: " + described);
         }
     }
 }
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -27,6 +27,9 @@
     std::string missing_shards;
     std::string body;
     bool refused_to_connect = false;
+    /// Sent on a connection that was idle, which the instance may close at the
+    /// same moment.
+    bool on_idle_connection = false;
 };
 
 /// One execution of a request by a replica.
@@ -134,6 +137,12 @@
     static constexpr double min_cut_share = 2.0 / 3;
     static constexpr std::size_t cut_allowance = 10;
     static constexpr milliseconds interruption_allowance{1500};
+    /// A request that crosses the close of an idle connection ends within this
+    /// time, without having reached a replica.
+    static constexpr milliseconds crossing_time{200};
+    /// Time within which an instance that shuts down refuses what it can't
+    /// serve: a quarter of what the callers wait.
+    static constexpr milliseconds refusal_bound{1000};
 
     void record_attempt(attempt_record record);
     /// Records that a replica ended under a request that crashes it.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <mutex>
+#include <string_view>
 #include <thread>
 
 namespace {
@@ -18,6 +19,7 @@
 constexpr const char* usage =
     "usage: peridotward-soak --program FILE [--seeds A-B] [--seconds N]\n"
     "           [--instances N] [--callers N] [--parallel N] [--folder DIR]\n"
+    "           [--series base|all]\n"
     "\n"
     "Runs gateway processes on loopback addresses, injects faults chosen by "
     "seed and\n"
@@ -56,13 +58,14 @@
         {"callers", required_argument, nullptr, 'c'},
         {"parallel", required_argument, nullptr, 'j'},
         {"folder", required_argument, nullptr, 'f'},
+        {"series", required_argument, nullptr, 'r'},
         {"help", no_argument, nullptr, 'h'},
         {nullptr, 0, nullptr, 0},
     };
     soak_options parsed;
     int letter = 0;
     while ((letter = getopt_long(
-                argc, argv, "p:s:t:i:c:j:f:h", options, nullptr)) != -1) {
+                argc, argv, "p:s:t:i:c:j:f:r:h", options, nullptr)) != -1) {
         switch (letter) {
         case 'p':
             parsed.program = optarg;
@@ -85,6 +88,14 @@
         case 'f':
             parsed.folder = optarg;
             break;
+        case 'r':
+            if (optarg != std::string_view{"base"} &&
+                optarg != std::string_view{"all"})
+                exit_with_usage();
+            parsed.series = optarg == std::string_view{"base"}
+                                ? soak_series::base
+                                : soak_series::all;
+            break;
         case 'h':
             std::cout << usage;
             std::exit(EXIT_SUCCESS);
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -1,8 +1,10 @@
+#include "late_requests.hpp"
 #include "soak_environment.hpp"
 
 #include <peridotward/base/json.hpp>
 
 #include <filesystem>
+#include <utility>
 
 namespace peridotward::soak {
 
@@ -21,6 +23,9 @@
 constexpr milliseconds checked_time{2000};
 /// Replicas of the service whose replicas crash.
 constexpr int brittle_replicas = 4;
+/// Replicas of the service of late requests; enough for all of these.
+constexpr int slow_replicas = 6;
+constexpr std::uint32_t slow_slots = 100;
 /// Min. share of requests with status 200 after the faults of a run ended.
 constexpr double min_served_share = 0.9;
 
@@ -67,12 +72,15 @@
         add_service("s" + std::to_string(s), replicas_per_service);
     add_service("desk", replicas_per_service);
     add_service(brittle_service, brittle_replicas);
+    if (options.series == soak_series::all)
+        add_service(slow_service, slow_replicas, slow_slots);
     replicas_.on_crash = [this](const auto& replica) { crash(replica); };
     publish_config();
     thread_ = std::thread{[this] { context_.run(); }};
 }
 
-void soak_environment::add_service(const std::string& name, int count)
+void soak_environment::add_service(
+    const std::string& name, int count, std::uint32_t slots)
 {
     for (int copy = 0; copy < count; ++copy) {
         const auto number = static_cast<std::uint16_t>(replica_links_.size());
@@ -81,6 +89,7 @@
         replica.service = name;
         replica.domain = "d" + std::to_string(copy % replicas_per_service);
         replica.link = number;
+        replica.slots = slots;
         replica.has_fault = name == brittle_service;
         replica.host = addresses_.replica_host();
         replica.port = static_cast<std::uint16_t>(first_replica_port + number);
@@ -106,7 +115,7 @@
         return json{
             {"name", name},
             {"healthPath", "/healthz"},
-            {"maxConnections", 60},
+            {"maxConnections", name == slow_service ? 600 : 60},
             {"warmupS", 0.0},
             {"warmupPerS", 0.0}};
     };
@@ -116,6 +125,8 @@
     }
     services.push_back(service("desk"));
     services.push_back(service(brittle_service));
+    if (options_->series == soak_series::all)
+        services.push_back(service(slow_service));
     const auto route = [](const std::string& prefix, const char* kind) {
         return json{
             {"name", prefix},
@@ -138,6 +149,16 @@
     auto brittle = route(invariant_checker::brittle_path, "safe");
     brittle["service"] = brittle_service;
     routes.push_back(brittle);
+    if (options_->series == soak_series::all) {
+        for (const auto* path :
+             {late_requests::safe_path, late_requests::once_path}) {
+            auto late = route(
+                path, path == late_requests::safe_path ? "safe" : "unsafe");
+            late["service"] = slow_service;
+            late["timeoutMs"] = late_requests::route_timeout.count();
+            routes.push_back(late);
+        }
+    }
     auto paths = added_paths_;
     paths.push_back("/read/");
     for (const auto& path : paths) {
@@ -171,17 +192,13 @@
     // The series of faults run at the same time.
     std::vector<std::thread> series;
     std::uint64_t series_seed = seed;
-    for (auto kinds :
-         {environment_faults(),
-          store_faults(),
-          notice_faults(),
-          rate_faults(),
-          crash_faults(),
-          cut_faults()})
-        series.emplace_back([&, kinds, fault_seed = series_seed += 7] {
-            inject_faults(until, kinds, fault_seed);
-        });
-    inject_faults(until, process_faults(), seed);
+    for (auto& kinds : series_of(seed)) {
+        series.emplace_back(
+            [&, kinds = std::move(kinds), fault_seed = series_seed] {
+                inject_faults(until, kinds, fault_seed);
+            });
+        series_seed += 7;
+    }
     for (auto& thread : series)
         thread.join();
     std::this_thread::sleep_for(settle_time);
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace peridotward::soak {
@@ -46,6 +47,8 @@
 private:
     /// The service whose replicas a certain request crashes.
     static constexpr const char* brittle_service = "brittle";
+    /// The service of `late_requests`.
+    static constexpr const char* slow_service = "slow";
 
     /// \returns Whether the instance reaches the replicas by the second links,
     /// which can be cut.
@@ -53,7 +56,10 @@
     {
         return instance % 2 == 1;
     }
-    void add_service(const std::string& name, int count);
+    void add_service(
+        const std::string& name,
+        int count,
+        std::uint32_t slots = replica_standin{}.slots);
     void publish_config();
 
     /// Runs `action` on the stand-ins' thread and waits until it returns.
@@ -101,6 +107,10 @@
     [[nodiscard]] std::vector<fault_kind> rate_faults();
     [[nodiscard]] std::vector<fault_kind> crash_faults();
     [[nodiscard]] std::vector<fault_kind> cut_faults();
+    [[nodiscard]] std::vector<fault_kind> stop_faults();
+    /// \returns The faults of each series, which run at the same time.
+    [[nodiscard]] std::vector<std::vector<fault_kind>>
+    series_of(std::uint64_t seed);
     void
     inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
     void inject_faults(
@@ -112,6 +122,11 @@
     void pause_instance(random_source& random);
     void kill_instance(random_source& random);
     void stop_instance(random_source& random);
+    /// Stops an instance of which callers hold idle connections; see
+    /// `late_requests`.
+    void stop_with_late_requests(random_source& random);
+    /// Signals the instance, waits for its exit and starts it again.
+    void restart_by_signal(int instance, random_source& random);
     void evacuate(random_source& random);
     void replace_replica(random_source& random);
     void change_config(random_source& random);
@@ -143,6 +158,8 @@
     std::vector<std::string> added_paths_;
     std::uint64_t config_version_ = 0;
     std::string injected_faults_;
+    std::mutex stops_mutex_; ///< Guards `stopping_`.
+    std::set<int> stopping_; ///< Instances in a planned stop.
 };
 
 } // namespace peridotward::soak
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -6,6 +6,14 @@
 
 namespace peridotward::soak {
 
+/// Which series of faults a run plays.
+enum class soak_series : std::uint8_t
+{
+    base, ///< The series of earlier releases, so that their seeds stay as they
+          ///< were.
+    all,  ///< Drawn by the seed, with all orders of events.
+};
+
 struct soak_options
 {
     std::string program;
@@ -16,6 +24,7 @@
     int callers = 12;
     int parallel = 1;
     std::string folder = "out/soak";
+    soak_series series = soak_series::all;
 };
 
 struct soak_result
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t slots = 4;
 constexpr std::uint32_t queue_size = 8;
 constexpr std::chrono::milliseconds min_service_time{2};
 constexpr std::uint64_t service_time_spread_ms = 8;
@@ -19,6 +18,16 @@
     return found == request.end() ? "" : std::string{found->value()};
 }
 
+/// \returns The time that the target of a request asks for.
+std::chrono::milliseconds work_of(const std::string& target)
+{
+    const auto at = target.find(work_mark);
+    return std::chrono::milliseconds{
+        at == std::string::npos
+            ? 0
+            : std::atoi(target.c_str() + at + work_mark.size())};
+}
+
 standin_response make_not_executed(unsigned status)
 {
     auto response = make_response(status, "");
@@ -56,7 +65,7 @@
          replica.host + ":" + std::to_string(replica.published_port)},
         {"zone", replica.domain},
         {"version", "v1"},
-        {"slots", slots},
+        {"slots", replica.slots},
         {"state", draining ? "draining" : "ready"},
         {"warmupLeftMs", 0},
         {"sequence", 1},
@@ -89,7 +98,7 @@
     }
     const bool turned_away = replica->pause > milliseconds{};
     if (turned_away || random_.unit() < replica->shed_share ||
-        replica->running >= slots + queue_size) {
+        replica->running >= replica->slots + queue_size) {
         auto refusal = make_not_executed(503);
         if (turned_away) {
             refusal.set(
@@ -137,7 +146,8 @@
     response.set("Peridotward-Server-Stamp", id + "." + replica->service);
     response.set(
         "Peridotward-Server-Load",
-        std::to_string(replica->running) + ",0," + std::to_string(slots));
+        std::to_string(replica->running) + ",0," +
+            std::to_string(replica->slots));
     if (search) {
         for (const auto& record :
              invariant_checker::records_of(id, replica->service))
@@ -147,7 +157,8 @@
         response.body() = "answer to " + id;
     response.prepare_payload();
     const auto service_time =
-        min_service_time + milliseconds{random_.below(service_time_spread_ms)};
+        min_service_time + milliseconds{random_.below(service_time_spread_ms)} +
+        work_of(std::string{request.target()});
     auto timer = std::make_shared<net::steady_timer>(*context_, service_time);
     timer->async_wait([timer,
                        replica,
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace peridotward::soak {
@@ -17,6 +18,9 @@
 /// Share of answers that each replica breaks off when no fault is injected.
 inline constexpr double base_break_share = 0.005;
 
+/// The digits that follow in a target are the milliseconds of its work.
+inline constexpr std::string_view work_mark = "work-";
+
 /// One replica: its identity and its faults.
 struct replica_standin
 {
@@ -31,6 +35,7 @@
     double shed_share = 0;
     double break_share = base_break_share;
     double hang_share = 0;
+    std::uint32_t slots = 4;
     std::uint32_t running = 0;
     std::uint64_t start_id = 1;
     bool crashing = false; ///< Ends soon, or has ended.
