platform: an odd entry of another writer ends no instance

What another operator saw: one entry, nested very deeply or with a number too large or a port out of range, ended the machines that read the list again and again. Cause: decode_upstream() put an odd 'slots' or 'born' as text into its error message, and the JSON library writes text by recursion.

--- a/base/src/object_reader.cpp
+++ b/base/src/object_reader.cpp
@@ -2,6 +2,23 @@
 
 namespace peridotward {
 
+namespace {
+
+/// Max bytes of an invalid value in an error message.
+constexpr std::size_t max_excerpt_bytes = 80;
+
+std::string excerpt_of(const json& value)
+{
+    auto text = value.dump();
+    if (text.size() > max_excerpt_bytes) {
+        text.resize(max_excerpt_bytes);
+        text += "...";
+    }
+    return text;
+}
+
+} // namespace
+
 object_reader::object_reader(const json& value, std::string path)
     : value_{&value}, path_{std::move(path)}
 {
@@ -29,7 +46,7 @@
     const auto& value = member(key);
     if (!value.is_string() || value.get_ref<const std::string&>().empty())
         throw_invalid(
-            key, "expected a non-empty string, found " + value.dump());
+            key, "expected a non-empty string, found " + excerpt_of(value));
     return value.get<std::string>();
 }
 
@@ -52,7 +69,7 @@
         throw_invalid(
             key,
             "expected an integer in " + std::to_string(low) + ".." +
-                std::to_string(high) + ", found " + value.dump());
+                std::to_string(high) + ", found " + excerpt_of(value));
     return value.get<std::int64_t>();
 }
 
@@ -74,7 +91,7 @@
         throw_invalid(
             key,
             "expected a number in " + std::to_string(low) + ".." +
-                std::to_string(high) + ", found " + value.dump());
+                std::to_string(high) + ", found " + excerpt_of(value));
     return value.get<double>();
 }
 
@@ -90,7 +107,8 @@
         return fallback;
     const auto& value = member(key);
     if (!value.is_boolean())
-        throw_invalid(key, "expected true or false, found " + value.dump());
+        throw_invalid(
+            key, "expected true or false, found " + excerpt_of(value));
     return value.get<bool>();
 }
 
@@ -98,7 +116,7 @@
 {
     const auto& value = member(key);
     if (!value.is_array())
-        throw_invalid(key, "expected an array, found " + value.dump());
+        throw_invalid(key, "expected an array, found " + excerpt_of(value));
     return value;
 }
 
