gateway: idle connections above the share are closed

What callers may see: after all processes have ended, requests fail at instances that return later, since the first one holds most of the connections that the replicas allow. Cause: an instance that knows few others may open up to eight connections to each replica. When others follow, its share falls to one, but open connections were closed only by the replica's idle timeout. Change: upstream_pool closes idle connections above the share, the least recently used first; the forwarder applies new shares to all replicas when the fleet changes.

--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -201,6 +201,9 @@
     /// that was admitted to `route` of an earlier one.
     [[nodiscard]] authentication authenticate_again(
         const http_session& session, const forward_route& route) const;
+    /// \brief Applies the instance's share of the connections to all replicas,
+    /// after a change of the fleet.
+    void update_connection_limits();
     /// \brief Refuses a request that doesn't fit into the shutdown, and names
     /// instances that serve it.
     void refuse_stopping(http_session& session);
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -46,6 +46,11 @@
         upstream_request request,
         const connection_limits& limits);
 
+    /// \brief Replaces the limits of the replica, also for the connections that
+    /// are open; has no effect if none was ever opened.
+    void
+    limit_connections(replica_number number, const connection_limits& limits);
+
     /// \brief Opens a connection to find out whether the replica still listens,
     /// unless one is being opened.
     void probe(replica_number number);
@@ -150,6 +155,10 @@
     [[nodiscard]] boost::intrusive_ptr<upstream_connection>
     open_connection(replica_number number);
 
+    /// \brief Closes idle connections above the limit, the least recently used
+    /// first.
+    static void close_surplus(replica_connections& replica);
+
     /// \returns Whether new requests may be sent to the replica.
     [[nodiscard]] bool accepts_requests(replica_number number) const;
     void report_unsent(const upstream_request& request);
--- a/gateway/include/peridotward/gateway/upstream_request.hpp
+++ b/gateway/include/peridotward/gateway/upstream_request.hpp
@@ -8,6 +8,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace peridotward {
@@ -36,6 +37,9 @@
 {
     std::uint32_t max_count = 1;
     duration max_idle = duration::max(); ///< Of each of them.
+    /// Connections beyond it are closed when they are idle. At least
+    /// `max_count`, which is lower while the replica is crowded.
+    std::uint32_t max_open = std::numeric_limits<std::uint32_t>::max();
 };
 
 /// \brief One attempt of a request, sent to one replica.
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -148,7 +148,8 @@
                  owner_->fleet_,
                  owner_->loop_->now()),
              connection_share::max_idle(
-                 service.max_connections, owner_->fleet_)}))
+                 service.max_connections, owner_->fleet_),
+             connection_share::of(service.max_connections, owner_->fleet_)}))
         unsent_attempts_.push_back(to_send.attempt);
     if (to_send.extra)
         owner_->stats_->count(
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -1,6 +1,8 @@
 #include "forward_operation.hpp"
 #include "quota_wait.hpp"
 
+#include <peridotward/core/budgets/connection_share.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -169,10 +171,31 @@
 {
     fleet.self = fleet_.self;
     fleet.revision = fleet_.revision + 1;
+    const bool shares_changed = fleet.senders != fleet_.senders ||
+                                fleet.sends != fleet_.sends ||
+                                fleet.others.size() != fleet_.others.size();
     fleet_ = std::move(fleet);
+    if (shares_changed)
+        update_connection_limits();
     retry_budgets_.weight(fleet_.weight, fleet_.total_weight);
 }
 
+void forwarder::update_connection_limits()
+{
+    if (!config_)
+        return;
+    for (const auto& service : config_->services) {
+        const auto share =
+            connection_share::of(service.max_connections, fleet_);
+        for (const auto number : catalog_.of_service(service.name))
+            pool_.limit_connections(
+                number,
+                {share,
+                 connection_share::max_idle(service.max_connections, fleet_),
+                 share});
+    }
+}
+
 void forwarder::log_rate_limit(replica_number number, std::string_view source)
 {
     const auto& target = catalog_.at(number);
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -86,6 +86,30 @@
     return opened;
 }
 
+void upstream_pool::limit_connections(
+    replica_number number, const connection_limits& limits)
+{
+    if (connections_.size() <= number)
+        return;
+    connections_[number].limits = limits;
+    close_surplus(connections_[number]);
+}
+
+void upstream_pool::close_surplus(replica_connections& replica)
+{
+    auto count = replica.connections.size();
+    for (auto it = replica.connections.end();
+         count > replica.limits.max_open &&
+         it != replica.connections.begin();) {
+        auto& connection = *--it;
+        if (!connection.idle())
+            continue;
+        ++it; // Stays valid when the connection leaves the list.
+        connection.close();
+        --count;
+    }
+}
+
 void upstream_pool::probe(replica_number number)
 {
     auto& replica = connections_of(number);
@@ -233,6 +257,8 @@
     }
     for (const auto& connection : overdue)
         connection->expire();
+    for (auto& replica : connections_)
+        close_surplus(replica);
     for (replica_number number = 0; number < connections_.size(); ++number)
         send_waiting(number);
 }
