soak: the ends of all processes, and limits of connections

Cause: the soak never ended all processes at once, its replicas took any number of connections, and its callers kept theirs for good. Change: every third seed ends all processes at the same moment, often after a change of the configuration, sometimes with all replicas, and lets a part of the fleet return first. The fleet must have recovered 4.5 s later.

--- a/soak/caller_connection.cpp
+++ b/soak/caller_connection.cpp
@@ -58,6 +58,13 @@
     open_ = response.keep_alive();
 }
 
+void caller_connection::close()
+{
+    error_code ignored;
+    socket_.close(ignored);
+    open_ = false;
+}
+
 bool caller_connection::is_closed_by_peer()
 {
     pollfd waited{socket_.native_handle(), POLLIN, 0};
--- a/soak/caller_connection.hpp
+++ b/soak/caller_connection.hpp
@@ -25,6 +25,8 @@
     /// \returns Whether the other side has closed the idle connection.
     [[nodiscard]] bool is_closed_by_peer();
 
+    void close();
+
     [[nodiscard]] bool open() const noexcept { return open_; }
 
 private:
--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -8,16 +8,18 @@
 namespace {
 
 constexpr milliseconds caller_deadline{800};
+constexpr int reconnect_pause_ms = 5;
 
 } // namespace
 
 callers::callers(
     invariant_checker& checker,
     const fleet& gateways,
-    int count,
+    const caller_options& options,
     std::uint64_t seed)
     : checker_{&checker},
       gateways_{&gateways},
+      options_{options},
       paths_{
           "/search/",
           "/search/",
@@ -26,7 +28,7 @@
           "/read/",
           invariant_checker::brittle_path}
 {
-    for (int i = 0; i < count; ++i)
+    for (int i = 0; i < options.count; ++i)
         threads_.emplace_back([this, i, seed] { run(i, seed + i); });
 }
 
@@ -75,6 +77,10 @@
             const std::lock_guard lock{mutex_};
             record.path = paths_[random.below(paths_.size())];
         }
+        const bool reconnects = options_.reconnect_share > 0 &&
+                                random.unit() < options_.reconnect_share;
+        if (reconnects)
+            connection.close();
         if (!connection.open())
             instance = static_cast<int>(
                 random.below(static_cast<std::uint64_t>(gateways_->size())));
@@ -91,8 +97,12 @@
         }
         else
             connection.request(record, caller_deadline);
+        // A caller goes on to another instance at once when one is down.
+        const auto pause =
+            record.refused_to_connect ? reconnect_pause_ms : options_.pause_ms;
         checker_->record_attempt(std::move(record));
-        std::this_thread::sleep_for(milliseconds{5 + random.below(20)});
+        std::this_thread::sleep_for(milliseconds{
+            pause + random.below(4 * static_cast<std::uint64_t>(pause))});
     }
 }
 
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -11,6 +11,15 @@
 
 namespace peridotward::soak {
 
+/// How the caller threads behave.
+struct caller_options
+{
+    int count = 12;
+    int pause_ms = 5; ///< Min pause between two requests of a caller.
+    /// Share of the requests after which a caller opens a new connection.
+    double reconnect_share = 0;
+};
+
 /// Caller threads. Each one keeps one connection open and connects to a random
 /// instance again when the connection closes.
 class callers
@@ -19,7 +28,7 @@
     callers(
         invariant_checker& checker,
         const fleet& gateways,
-        int count,
+        const caller_options& options,
         std::uint64_t seed);
     ~callers();
     callers(const callers&) = delete;
@@ -37,6 +46,7 @@
 
     invariant_checker* checker_;
     const fleet* gateways_;
+    caller_options options_;
     std::atomic<bool> stopped_ = false;
     std::mutex mutex_;
     std::vector<std::string> paths_;
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -12,6 +12,8 @@
 constexpr int max_stop_ms = 6500;
 constexpr milliseconds crash_delay{30};
 constexpr milliseconds restart_delay{2000};
+/// The part of a fleet that returns first.
+constexpr std::size_t first_part_divisor = 3;
 
 } // namespace
 
@@ -141,6 +143,59 @@
     stopping_.erase(instance);
 }
 
+void soak_environment::restart_replicas()
+{
+    for (const auto& replica : replicas_.all()) {
+        for (auto* links : {&replica_links_, &second_replica_links_})
+            (*links)[replica->link]->reset();
+        store_.remove("servers/" + replica->id);
+        replica->id += "p";
+        ++replica->start_id;
+        replicas_.publish(*replica);
+    }
+}
+
+void soak_environment::end_all(random_source& random)
+{
+    // The fault often follows a change of the configuration.
+    if (random.below(2) == 0) {
+        change_config(random);
+        sleep_random(random, milliseconds{0}, 40);
+    }
+    const auto from = steady::now();
+    const bool with_replicas = random.below(3) == 0;
+    std::vector<int> order;
+    for (int i = 0; i < options_->instances; ++i) {
+        fleet_->signal(i, SIGKILL);
+        order.push_back(i);
+    }
+    std::shuffle(order.begin(), order.end(), std::mt19937_64{random.next()});
+    for (const int instance : order)
+        fleet_->wait_for_exit(instance, max_stop_ms);
+    sleep_random(random, milliseconds{100}, 1000);
+    if (with_replicas)
+        run_on_standin_thread([&] { restart_replicas(); });
+    // Sometimes a part of the fleet returns first, and gets all callers.
+    const auto first_part =
+        random.below(2) == 0
+            ? order.size()
+            : (order.size() + first_part_divisor - 1) / first_part_divisor;
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        if (i == first_part)
+            sleep_random(random, milliseconds{500}, 2000);
+        fleet_->start(order[i]);
+        sleep_random(
+            random,
+            milliseconds{0},
+            1 + 300 / static_cast<std::uint64_t>(options_->instances));
+    }
+    for (const int instance : order)
+        record_disturbance_since(instance, from, disturbance_kind::restarted);
+    std::this_thread::sleep_for(invariant_checker::settle_time);
+    checker_.record_recovery(steady::now() + invariant_checker::checked_time);
+    std::this_thread::sleep_for(invariant_checker::checked_time);
+}
+
 void soak_environment::evacuate(random_source& random)
 {
     const auto domain =
@@ -478,8 +533,7 @@
              }}};
 }
 
-std::vector<std::vector<fault_kind>>
-soak_environment::series_of(std::uint64_t seed)
+std::vector<std::vector<fault_kind>> soak_environment::series_of_run()
 {
     std::vector<std::vector<fault_kind>> mixed{
         process_faults(),
@@ -491,8 +545,7 @@
         cut_faults()};
     if (options_->series == soak_series::base)
         return mixed;
-    constexpr std::uint64_t profiles = 2;
-    switch (seed % profiles) {
+    switch (seed_ % profiles) {
     case 0: {
         // Planned work alone: most other faults excuse requests that are cut.
         const fault_kind config{
@@ -505,6 +558,11 @@
                           sleep_random(random, milliseconds{500}, 1500);
                       }}}};
     }
+    case 1:
+        return {
+            {{"end all", [&](auto& random) { end_all(random); }}},
+            {{"config", [&](auto& random) { change_config(random); }},
+             {"replace", [&](auto& random) { replace_replica(random); }}}};
     default:
         mixed.front().push_back(stop_faults().front());
         return mixed;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -109,6 +109,12 @@
     drain_times_[replica] = steady::now();
 }
 
+void invariant_checker::record_recovery(steady::time_point until)
+{
+    const std::lock_guard lock{mutex_};
+    recoveries_.emplace_back(steady::now(), until);
+}
+
 void invariant_checker::record_publication(const std::string& path)
 {
     const std::lock_guard lock{mutex_};
@@ -203,6 +209,7 @@
     check_rate_limits(violations);
     check_crashes(violations);
     check_cuts(violations);
+    check_recoveries(violations);
     return violations;
 }
 
@@ -247,7 +254,7 @@
         violations.push_back("wrong records: " + record.id);
     const auto missing =
         record.missing_shards.empty() ? 0U : std::stoul(record.missing_shards);
-    if (services.size() + missing != shards)
+    if (services.size() + missing != shards_)
         violations.push_back("wrong coverage: " + record.id);
 }
 
@@ -648,6 +655,27 @@
     }
 }
 
+void invariant_checker::check_recoveries(
+    std::vector<std::string>& violations) const
+{
+    for (const auto& [from, until] : recoveries_) {
+        std::size_t served = 0;
+        std::size_t attempted = 0;
+        for (const auto& record : attempts_) {
+            if (record.sent < from || record.sent > until)
+                continue;
+            ++attempted;
+            served += record.status == 200 ? 1 : 0;
+        }
+        if (static_cast<double>(served) <
+            min_served_share * static_cast<double>(attempted))
+            violations.push_back(
+                "not recovered: " + std::to_string(served) + " of " +
+                std::to_string(attempted) +
+                " served after all processes had ended");
+    }
+}
+
 void invariant_checker::check_extra_attempts(
     std::vector<std::string>& violations) const
 {
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -97,7 +97,6 @@
 class invariant_checker
 {
 public:
-    static constexpr std::uint32_t shards = 5;
     static constexpr std::uint32_t top_records = 6;
     /// Max. time until an evacuated domain, a draining replica and a new
     /// configuration are honoured by every instance.
@@ -137,6 +136,12 @@
     static constexpr double min_cut_share = 2.0 / 3;
     static constexpr std::size_t cut_allowance = 10;
     static constexpr milliseconds interruption_allowance{1500};
+    /// Time from the last fault until the fleet must have recovered, and the
+    /// time for which that is checked.
+    static constexpr milliseconds settle_time{4500};
+    static constexpr milliseconds checked_time{2000};
+    /// Min. share of the requests with status 200 after a fleet has recovered.
+    static constexpr double min_served_share = 0.9;
     /// A request that crosses the close of an idle connection ends within this
     /// time, without having reached a replica.
     static constexpr milliseconds crossing_time{200};
@@ -144,6 +149,9 @@
     /// serve: a quarter of what the callers wait.
     static constexpr milliseconds refusal_bound{1000};
 
+    /// \param shards The number of services that a search is split over.
+    explicit invariant_checker(std::uint32_t shards) : shards_{shards} {}
+
     void record_attempt(attempt_record record);
     /// Records that a replica ended under a request that crashes it.
     void record_crash(const std::string& replica_start);
@@ -156,6 +164,8 @@
     void record_evacuation(const std::string& domain, bool begins);
     /// Records that `replica` drains from now on.
     void record_drain(const std::string& replica);
+    /// Records that the fleet must have recovered by now, until `until`.
+    void record_recovery(steady::time_point until);
     /// Records that a configuration with the route `path` is published now.
     void record_publication(const std::string& path);
 
@@ -203,6 +213,9 @@
     void check_crashes(std::vector<std::string>& violations) const;
     void check_cuts(std::vector<std::string>& violations) const;
 
+    void check_recoveries(std::vector<std::string>& violations) const;
+
+    std::uint32_t shards_;
     mutable std::mutex mutex_;
     std::vector<attempt_record> attempts_;
     std::vector<execution_record> executions_;
@@ -214,6 +227,7 @@
         std::string,
         std::pair<steady::time_point, steady::time_point>>>
         evacuations_;
+    std::vector<std::pair<steady::time_point, steady::time_point>> recoveries_;
     std::map<std::string, steady::time_point> crash_times_;
     std::map<std::string, steady::time_point> drain_times_;
     std::map<std::string, steady::time_point> publication_times_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -19,7 +19,7 @@
 constexpr const char* usage =
     "usage: peridotward-soak --program FILE [--seeds A-B] [--seconds N]\n"
     "           [--instances N] [--callers N] [--parallel N] [--folder DIR]\n"
-    "           [--series base|all]\n"
+    "           [--series base|all] [--shards N] [--pause MS]\n"
     "\n"
     "Runs gateway processes on loopback addresses, injects faults chosen by "
     "seed and\n"
@@ -59,13 +59,15 @@
         {"parallel", required_argument, nullptr, 'j'},
         {"folder", required_argument, nullptr, 'f'},
         {"series", required_argument, nullptr, 'r'},
+        {"pause", required_argument, nullptr, 'm'},
+        {"shards", required_argument, nullptr, 'n'},
         {"help", no_argument, nullptr, 'h'},
         {nullptr, 0, nullptr, 0},
     };
     soak_options parsed;
     int letter = 0;
     while ((letter = getopt_long(
-                argc, argv, "p:s:t:i:c:j:f:r:h", options, nullptr)) != -1) {
+                argc, argv, "p:s:t:i:c:j:f:r:n:m:h", options, nullptr)) != -1) {
         switch (letter) {
         case 'p':
             parsed.program = optarg;
@@ -88,6 +90,12 @@
         case 'f':
             parsed.folder = optarg;
             break;
+        case 'm':
+            parsed.pause_ms = std::atoi(optarg);
+            break;
+        case 'n':
+            parsed.shards = std::atoi(optarg);
+            break;
         case 'r':
             if (optarg != std::string_view{"base"} &&
                 optarg != std::string_view{"all"})
@@ -105,6 +113,7 @@
     }
     const bool valid = !parsed.program.empty() && parsed.seconds > 0 &&
                        parsed.instances > 1 && parsed.callers > 0 &&
+                       parsed.shards > 0 && parsed.pause_ms > 0 &&
                        parsed.parallel > 0 && parsed.parallel <= max_parallel;
     if (!valid)
         exit_with_usage();
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -19,15 +19,13 @@
 constexpr std::uint16_t second_store_offset = 900;
 constexpr std::uint16_t second_link_offset = 1000;
 constexpr milliseconds startup_time{3000};
-constexpr milliseconds settle_time{4500};
-constexpr milliseconds checked_time{2000};
 /// Replicas of the service whose replicas crash.
 constexpr int brittle_replicas = 4;
+/// Share of the requests after which callers open a new connection.
+constexpr double reconnect_share = 0.1;
 /// Replicas of the service of late requests; enough for all of these.
 constexpr int slow_replicas = 6;
 constexpr std::uint32_t slow_slots = 100;
-/// Min. share of requests with status 200 after the faults of a run ended.
-constexpr double min_served_share = 0.9;
 
 /// \returns `record` with the port of the second link, if it is a replica's.
 std::string with_second_link(const std::string& record)
@@ -44,13 +42,20 @@
     return changed.dump();
 }
 
+std::string same_record(const std::string& record)
+{
+    return record;
+}
+
 } // namespace
 
 soak_environment::soak_environment(
     const soak_options& options, std::uint64_t seed)
     : options_{&options},
+      seed_{seed},
       addresses_{seed},
       config_random_{seed},
+      checker_{static_cast<std::uint32_t>(options.shards)},
       store_{context_, addresses_.replica_host(), store_port},
       second_store_{
           context_,
@@ -58,7 +63,8 @@
           store_port + second_store_offset},
       replicas_{context_, checker_, store_, seed}
 {
-    store_.mirror_to(second_store_, with_second_link);
+    store_.mirror_to(
+        second_store_, plays_power_loss() ? same_record : with_second_link);
     for (int i = 0; i < options.instances; ++i) {
         const bool second = uses_second_links(i);
         store_links_.push_back(std::make_unique<proxy>(
@@ -68,7 +74,7 @@
             static_cast<std::uint16_t>(
                 store_port + (second ? second_store_offset : 0))));
     }
-    for (std::uint32_t s = 0; s < invariant_checker::shards; ++s)
+    for (int s = 0; s < options.shards; ++s)
         add_service("s" + std::to_string(s), replicas_per_service);
     add_service("desk", replicas_per_service);
     add_service(brittle_service, brittle_replicas);
@@ -90,18 +96,21 @@
         replica.domain = "d" + std::to_string(copy % replicas_per_service);
         replica.link = number;
         replica.slots = slots;
+        if (options_->series == soak_series::all)
+            replica.max_connections =
+                static_cast<std::uint32_t>(max_connections(name));
         replica.has_fault = name == brittle_service;
         replica.host = addresses_.replica_host();
         replica.port = static_cast<std::uint16_t>(first_replica_port + number);
-        replica.published_port =
+        const auto link_port =
             static_cast<std::uint16_t>(first_proxy_port + number);
+        replica.published_port = plays_power_loss() ? replica.port : link_port;
         replica_links_.push_back(std::make_unique<proxy>(
-            context_, replica.host, replica.published_port, replica.port));
+            context_, replica.host, link_port, replica.port));
         second_replica_links_.push_back(std::make_unique<proxy>(
             context_,
             replica.host,
-            static_cast<std::uint16_t>(
-                replica.published_port + second_link_offset),
+            static_cast<std::uint16_t>(link_port + second_link_offset),
             replica.port));
         replicas_.add(std::move(replica));
     }
@@ -115,11 +124,11 @@
         return json{
             {"name", name},
             {"healthPath", "/healthz"},
-            {"maxConnections", name == slow_service ? 600 : 60},
+            {"maxConnections", max_connections(name)},
             {"warmupS", 0.0},
             {"warmupPerS", 0.0}};
     };
-    for (std::uint32_t s = 0; s < invariant_checker::shards; ++s) {
+    for (int s = 0; s < options_->shards; ++s) {
         shards.push_back("s" + std::to_string(s));
         services.push_back(service("s" + std::to_string(s)));
     }
@@ -186,13 +195,18 @@
     checker_.record_disturbance(
         {all_instances, steady::now(), steady::now() + startup_time});
     std::this_thread::sleep_for(startup_time);
-    callers caller_threads{checker_, gateways, options_->callers, seed * 1000};
+    const bool all = options_->series == soak_series::all;
+    callers caller_threads{
+        checker_,
+        gateways,
+        {options_->callers, options_->pause_ms, all ? reconnect_share : 0},
+        seed * 1000};
     callers_ = &caller_threads;
     const auto until = steady::now() + std::chrono::seconds{options_->seconds};
     // The series of faults run at the same time.
     std::vector<std::thread> series;
     std::uint64_t series_seed = seed;
-    for (auto& kinds : series_of(seed)) {
+    for (auto& kinds : series_of_run()) {
         series.emplace_back(
             [&, kinds = std::move(kinds), fault_seed = series_seed] {
                 inject_faults(until, kinds, fault_seed);
@@ -201,9 +215,9 @@
     }
     for (auto& thread : series)
         thread.join();
-    std::this_thread::sleep_for(settle_time);
+    std::this_thread::sleep_for(invariant_checker::settle_time);
     const auto settled = steady::now();
-    std::this_thread::sleep_for(checked_time);
+    std::this_thread::sleep_for(invariant_checker::checked_time);
     caller_threads.stop();
     soak_result result;
     result.seed = seed;
@@ -213,7 +227,7 @@
     result.violations = checker_.find_violations();
     const auto [served, attempted] = checker_.count_served_since(settled);
     if (static_cast<double>(served) <
-        min_served_share * static_cast<double>(attempted))
+        invariant_checker::min_served_share * static_cast<double>(attempted))
         result.violations.push_back(
             "not recovered: " + std::to_string(served) + " of " +
             std::to_string(attempted) + " served after the last fault");
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -31,6 +31,8 @@
 {
 public:
     static constexpr int replicas_per_service = 3;
+    /// Kinds of runs, which the seed selects.
+    static constexpr std::uint64_t profiles = 3;
 
     soak_environment(const soak_options& options, std::uint64_t seed);
     ~soak_environment()
@@ -56,6 +58,17 @@
     {
         return instance % 2 == 1;
     }
+    /// \returns Whether the run plays the ends of all processes: its instances
+    /// reach the replicas without proxies, which would limit the load.
+    [[nodiscard]] bool plays_power_loss() const noexcept
+    {
+        return options_->series == soak_series::all && seed_ % profiles == 1;
+    }
+    /// \returns The limit of the connections to one replica of `service`.
+    [[nodiscard]] static int max_connections(const std::string& service)
+    {
+        return service == slow_service ? 600 : 60;
+    }
     void add_service(
         const std::string& name,
         int count,
@@ -109,8 +122,7 @@
     [[nodiscard]] std::vector<fault_kind> cut_faults();
     [[nodiscard]] std::vector<fault_kind> stop_faults();
     /// \returns The faults of each series, which run at the same time.
-    [[nodiscard]] std::vector<std::vector<fault_kind>>
-    series_of(std::uint64_t seed);
+    [[nodiscard]] std::vector<std::vector<fault_kind>> series_of_run();
     void
     inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
     void inject_faults(
@@ -125,6 +137,11 @@
     /// Stops an instance of which callers hold idle connections; see
     /// `late_requests`.
     void stop_with_late_requests(random_source& random);
+    /// Ends all processes at the same moment, sometimes the replicas' too, and
+    /// starts them again.
+    void end_all(random_source& random);
+    /// Starts all replicas again, under other ids; their connections are reset.
+    void restart_replicas();
     /// Signals the instance, waits for its exit and starts it again.
     void restart_by_signal(int instance, random_source& random);
     void evacuate(random_source& random);
@@ -140,6 +157,7 @@
     void cut_from_replicas(random_source& random);
 
     const soak_options* options_;
+    std::uint64_t seed_;
     run_addresses addresses_;
     random_source config_random_;
     std::mutex faults_mutex_; ///< Guards `injected_faults_`.
--- a/soak/soak_run.hpp
+++ b/soak/soak_run.hpp
@@ -23,6 +23,8 @@
     int instances = 4;
     int callers = 12;
     int parallel = 1;
+    int pause_ms = 5; ///< Min pause between two requests of a caller.
+    int shards = 5;   ///< Services that a search is split over.
     std::string folder = "out/soak";
     soak_series series = soak_series::all;
 };
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -49,6 +49,13 @@
 {
     auto added = std::make_shared<replica_standin>(std::move(replica));
     auto hooks = std::make_shared<listener_hooks>();
+    hooks->on_connect = [added] {
+        const bool accepted = added->max_connections == 0 ||
+                              added->connections < added->max_connections;
+        added->connections += accepted ? 1 : 0;
+        return accepted;
+    };
+    hooks->on_disconnect = [added] { --added->connections; };
     hooks->on_request = [this, added](standin_request request, respond answer) {
         on_request(added, std::move(request), std::move(answer));
     };
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -36,6 +36,9 @@
     double break_share = base_break_share;
     double hang_share = 0;
     std::uint32_t slots = 4;
+    /// Connections beyond it are closed at once; 0 for no limit.
+    std::uint32_t max_connections = 0;
+    std::uint32_t connections = 0;
     std::uint32_t running = 0;
     std::uint64_t start_id = 1;
     bool crashing = false; ///< Ends soon, or has ended.
