gateway: work that answers later holds a checked reference to its request

Cause: a failed or stalled write closed the session without a word to the handler, while a request that had been parsed meanwhile was open. Its operation kept a plain pointer to the session, whose memory became another caller's.

--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -28,7 +28,8 @@
     /// during the call or later. The message stays valid until the answer.
     virtual void on_request(http_session& session) = 0;
 
-    /// \brief Called when the caller closed the connection before the answer.
+    /// \brief Called when the connection ended before the answer, whichever
+    /// side ended it.
     virtual void on_caller_disconnect(http_session&) {}
 
     /// \returns Size limits of requests and timeouts of connections.
@@ -41,7 +42,8 @@
     ~http_handler() = default;
 };
 
-/// \brief Server side of one HTTP/1.1 connection; one request at a time.
+/// \brief Server side of one HTTP/1.1 connection; one request at a time: the
+/// next one is parsed when the caller has taken the answer.
 class http_session final
     : public io_handler,
       public boost::
@@ -93,6 +95,17 @@
     {
         return start_time_;
     }
+    /// \returns The number of the current request on this connection.
+    [[nodiscard]] std::uint64_t request_number() const noexcept
+    {
+        return request_number_;
+    }
+    /// \returns Whether the caller waits for the answer to the request with
+    /// this number.
+    [[nodiscard]] bool awaits_answer(std::uint64_t number) const noexcept
+    {
+        return phase_ == phase::answering && request_number_ == number;
+    }
 
     /// \returns The kernel's estimate of the round-trip time to the caller,
     /// read at the first call and then kept; zero if it is unavailable.
@@ -127,6 +140,8 @@
     void on_events(std::uint32_t events) override;
     void receive();
     void parse();
+    /// \brief A whole request, or one to refuse, is open from now on.
+    void begin_request();
     void refuse(std::uint32_t status);
     void flush();
     void on_answer_sent();
@@ -141,6 +156,7 @@
     phase phase_ = phase::reading;
     std::uint32_t watched_events_ = 0;
     request_message request_;
+    std::uint64_t request_number_ = 0;
     std::unique_ptr<request_reader> reader_;
     std::string input_;
     std::string output_;
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -28,7 +28,7 @@
     std::string request_id,
     const request_fingerprints& fingerprints)
     : owner_{&owner},
-      session_{&session},
+      session_{session},
       request_{std::move(request)},
       profile_{&owner.profiles_[request_.route().name]},
       request_id_{std::move(request_id)},
@@ -262,12 +262,11 @@
         end == forward_end::complete || end == forward_end::partial;
     if (success && request_.survived())
         owner_->crash_history_.on_answered(fingerprints_, owner_->loop_->now());
-    if (session_ == nullptr)
+    const auto session = std::exchange(session_, {});
+    if (!session)
         return;
     if (success)
         owner_->retry_schedule_of(request_).on_served(owner_->loop_->now());
-    auto* const session = std::exchange(session_, nullptr);
-    const boost::intrusive_ptr<http_session> guard{session};
     if (!success)
         answer_failure(*session, end);
     else if (request_.route().scatters())
@@ -370,7 +369,7 @@
          {"attempts", request_.attempts()},
          {"repeats", request_.extra_attempts()},
          {"config", request_.config()->version},
-         {"caller_left", session_ == nullptr ? 1 : 0}});
+         {"caller_left", session_ ? 0 : 1}});
 }
 
 void forward_operation::log_unusable_replicas(time_point now) const
@@ -393,7 +392,7 @@
 
 void forward_operation::on_caller_disconnect()
 {
-    session_ = nullptr;
+    session_ = {};
     if (request_.ended())
         return;
     owner_->stats_->record_request(
@@ -408,19 +407,19 @@
 void forward_operation::on_upstreams_lost()
 {
     const bool repeatable = request_.route().safety == retry_safety::idempotent;
-    if (session_ == nullptr || request_.ended() || !repeatable)
+    if (!session_ || request_.ended() || !repeatable)
         return;
     const boost::intrusive_ptr<forward_operation> guard{this};
-    auto& session = *std::exchange(session_, nullptr);
+    const auto session = std::exchange(session_, {});
     // The other instance charges the request again.
     refund();
     abandon();
-    owner_->relay(session, request_.route(), request_.times(), request_id_);
+    owner_->relay(*session, request_.route(), request_.times(), request_id_);
 }
 
 void forward_operation::on_config_changed()
 {
-    if (session_ == nullptr || request_.ended() || request_.sent())
+    if (!session_ || request_.ended() || request_.sent())
         return;
     const auto renewed =
         owner_->authenticate_again(*session_, request_.route());
@@ -441,7 +440,7 @@
     owner_->stats_->count("revoked_requests_total");
     log_end(forward_end::not_run);
     owner_->refuse_unauthenticated(
-        *std::exchange(session_, nullptr), renewed.outcome);
+        *std::exchange(session_, {}), renewed.outcome);
 }
 
 void forward_operation::on_shutdown(const shutdown_schedule& schedule)
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -2,6 +2,7 @@
 
 #include <peridotward/core/routing/request_fingerprint.hpp>
 #include <peridotward/gateway/forwarder.hpp>
+#include <peridotward/gateway/session_request.hpp>
 
 #include <string>
 #include <vector>
@@ -72,7 +73,7 @@
     void log_unusable_replicas(time_point now) const;
 
     forwarder* owner_;
-    http_session* session_; ///< Null after the answer or a disconnect.
+    session_request session_; ///< The caller's.
     forwarded_request request_;
     latency_profile* profile_;
     std::string request_id_;
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cerrno>
+#include <vector>
 
 namespace peridotward {
 
@@ -85,8 +86,6 @@
     if (received <= 0) {
         // Callers may half-close a connection only after the answer, so the
         // end of the stream means that the caller has disconnected.
-        if (phase_ == phase::answering)
-            handler_->on_caller_disconnect(*this);
         close();
         return;
     }
@@ -95,7 +94,7 @@
     if (input_.empty() && phase_ == phase::reading && !reader_)
         start_time_ = loop_->now();
     input_.append(buffer.data(), static_cast<std::size_t>(received));
-    if (phase_ == phase::reading)
+    if (phase_ == phase::reading && output_.empty())
         parse();
     else if (input_.size() > read_bytes)
         set_events(EPOLLRDHUP); // Reading resumes after the answer.
@@ -112,8 +111,7 @@
     case read_state::incomplete:
         return;
     case read_state::complete:
-        reader_.reset();
-        phase_ = phase::answering;
+        begin_request();
         handler_->on_request(*this);
         return;
     case read_state::header_too_large:
@@ -128,10 +126,16 @@
     }
 }
 
-void http_session::refuse(std::uint32_t status)
+void http_session::begin_request()
 {
     reader_.reset();
     phase_ = phase::answering;
+    ++request_number_;
+}
+
+void http_session::refuse(std::uint32_t status)
+{
+    begin_request();
     close_after_answer_ = true;
     respond(status, "text/plain", reason_phrase(status));
 }
@@ -272,15 +276,20 @@
 
 bool http_session::has_request() const noexcept
 {
-    return busy() ||
-           (phase_ == phase::reading && (reader_ || has_unread_bytes()));
+    return busy() || (phase_ == phase::reading &&
+                      (reader_ || !input_.empty() || has_unread_bytes()));
 }
 
 void http_session::close()
 {
     if (phase_ == phase::closed)
         return;
+    // Takes over the reactor's reference.
+    const boost::intrusive_ptr<http_session> guard{this, false};
+    const bool request_open = phase_ == phase::answering;
     phase_ = phase::closed;
+    if (request_open)
+        handler_->on_caller_disconnect(*this);
     output_.clear();
     written_ = 0;
     loop_->remove(socket_.descriptor(), *this);
@@ -288,7 +297,6 @@
     state.reset();
     if (is_linked())
         unlink();
-    intrusive_ptr_release(this);
 }
 
 http_listener::~http_listener()
@@ -344,10 +352,13 @@
 
 void http_listener::check(time_point now)
 {
-    for (auto it = sessions_.begin(); it != sessions_.end();) {
-        auto& session = *it++;
-        session.check(now);
-    }
+    // The end of one connection may end others: its handler frees what their
+    // requests wait for.
+    std::vector<boost::intrusive_ptr<http_session>> all;
+    for (auto& session : sessions_)
+        all.emplace_back(&session);
+    for (const auto& session : all)
+        session->check(now);
 }
 
 void http_listener::close_idle()
--- a/gateway/src/quota_wait.cpp
+++ b/gateway/src/quota_wait.cpp
@@ -10,7 +10,7 @@
     std::string account,
     time_point since)
     : owner_{&owner},
-      session_{&session},
+      session_{session},
       account_{std::move(account)},
       since_{since},
       timer_{[this] { try_again(); }}
@@ -30,8 +30,10 @@
 
 void quota_wait::on_caller_disconnect()
 {
-    if (std::exchange(session_, nullptr) == nullptr)
+    session_ = {};
+    if (!is_linked())
         return;
+    unlink();
     reactor::disarm(timer_);
     owner_->quotas_.end_wait(account_);
 }
@@ -50,8 +52,8 @@
 void quota_wait::try_again()
 {
     const boost::intrusive_ptr<quota_wait> guard{this};
-    auto* const session = std::exchange(session_, nullptr);
-    if (session == nullptr)
+    const auto session = std::exchange(session_, {});
+    if (!session)
         return;
     reactor::disarm(timer_);
     unlink();
--- a/gateway/src/quota_wait.hpp
+++ b/gateway/src/quota_wait.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <peridotward/gateway/forwarder.hpp>
+#include <peridotward/gateway/session_request.hpp>
 
 #include <string>
 #include <string_view>
@@ -30,7 +31,7 @@
     void try_again();
 
     forwarder* owner_;
-    http_session* session_; ///< Null after the wait.
+    session_request session_; ///< The caller's.
     std::string account_;
     time_point since_;
     reactor_timer timer_;
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -27,7 +27,7 @@
     const forward_times& times,
     std::string request_id)
     : owner_{&owner},
-      session_{&session},
+      session_{session},
       config_{owner.config_},
       route_{&route},
       route_version_{
@@ -87,10 +87,9 @@
         return;
     }
     owner_->replaced_ = false;
-    if (session_ != nullptr) {
-        auto& session = *std::exchange(session_, nullptr);
+    if (const auto session = std::exchange(session_, {})) {
         owner_->refuse_unreachable(
-            session, forwarder::no_upstream, forwarder::relayed_cut_off);
+            *session, forwarder::no_upstream, forwarder::relayed_cut_off);
     }
     end(service_unavailable);
 }
@@ -219,10 +218,9 @@
     }
     end_target(relay_result::served);
     owner_->replaced_ = owner_->pool_.contact().lost();
-    if (session_ != nullptr)
-        std::exchange(session_, nullptr)
-            ->respond(
-                forwarded_answer_head(answer_, *owner_->names_), answer_.body);
+    if (const auto session = std::exchange(session_, {}))
+        session->respond(
+            forwarded_answer_head(answer_, *owner_->names_), answer_.body);
     end(answer_.status);
 }
 
@@ -239,8 +237,8 @@
 
 void relay_operation::fail(std::uint32_t status, std::string_view reason)
 {
-    if (session_ != nullptr)
-        owner_->refuse(*std::exchange(session_, nullptr), status, reason);
+    if (const auto session = std::exchange(session_, {}))
+        owner_->refuse(*session, status, reason);
     end(status);
 }
 
@@ -269,7 +267,7 @@
 void relay_operation::on_caller_disconnect()
 {
     const boost::intrusive_ptr<relay_operation> guard{this};
-    session_ = nullptr;
+    session_ = {};
     if (socket_)
         end_target(relay_result::served);
     end(0);
@@ -285,7 +283,7 @@
 
 void relay_operation::on_config_changed()
 {
-    if (session_ == nullptr || connected_)
+    if (!session_ || connected_)
         return;
     const auto renewed = owner_->authenticate_again(*session_, *route_);
     if (renewed.outcome == authentication_outcome::accepted)
@@ -295,7 +293,7 @@
         end_target(relay_result::served);
     owner_->stats_->count("revoked_requests_total");
     owner_->refuse_unauthenticated(
-        *std::exchange(session_, nullptr), renewed.outcome);
+        *std::exchange(session_, {}), renewed.outcome);
     end(unauthorized);
 }
 
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <peridotward/gateway/forwarder.hpp>
+#include <peridotward/gateway/session_request.hpp>
 
 #include <optional>
 #include <string>
@@ -55,7 +56,7 @@
     [[nodiscard]] std::string serialize() const;
 
     forwarder* owner_;
-    http_session* session_;     ///< Null after the answer or a disconnect.
+    session_request session_;   ///< The caller's.
     forward_config_ptr config_; ///< Holds `route_`.
     const forward_route* route_;
     std::string route_version_; ///< For the field `relayed_config`.
