--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -41,9 +41,12 @@
     std::optional<double> rate_limit;
     /// Whether its last answer named no limit after an earlier one had.
     bool rate_limit_ended = false;
-    /// Whether another upstream has the address: this one has ended, or will
-    /// publish itself again.
+    /// Whether the publication of another upstream has the better claim to the
+    /// address.
     bool address_taken = false;
+    /// Whether another upstream answered at the address: this one has ended, or
+    /// will publish itself again.
+    bool misdirected = false;
 
     [[nodiscard]] bool cold(time_point now) const noexcept
     {
@@ -108,11 +111,13 @@
     ///
     /// \remarks Each further attempt would arrive at that upstream, as an extra
     /// attempt that no budget knows of. Holds until the replica is published
-    /// again.
-    void mark_address_taken(replica_number number)
-    {
-        at(number).address_taken = true;
-    }
+    /// again. Another upstream that is published with the address has it now.
+    void mark_misdirected(replica_number number);
+
+    /// \brief Sets the services that the configuration names. Any program can
+    /// publish an upstream: one of a service that nobody names takes no address
+    /// from one that is used.
+    void set_services(std::set<std::string, std::less<>> names);
 
     /// \brief Excludes or readmits all upstreams of a failure domain.
     void set_domain_excluded(std::string_view domain, bool excluded);
@@ -171,14 +176,19 @@
     void remove(replica_number number);
     /// Applies a record regardless of its position.
     void update(replica& target, upstream_record record, time_point now);
-    /// Settles which of two replicas with the same address has it.
-    void claim_address(replica& claimant);
+    /// \returns Whether `a` has a better claim to the address of both than `b`.
+    [[nodiscard]] bool
+    has_better_claim(const replica& a, const replica& b) const;
+    /// Settles which of the replicas with the address has it.
+    void settle_address(const endpoint& address);
 
     std::vector<std::unique_ptr<replica>> replicas_;
     std::unordered_map<std::string, replica_number> by_id_;
     std::unordered_map<std::string, std::vector<replica_number>> by_service_;
-    /// The replica that has the address.
-    std::map<endpoint, replica_number> by_address_;
+    /// The live replicas that are published with the address.
+    std::map<endpoint, std::vector<replica_number>> by_address_;
+    /// Empty before the first configuration; all count as named then.
+    std::set<std::string, std::less<>> named_services_;
     std::set<std::string, std::less<>> excluded_;
     /// By address: notices of removed upstreams, so that a publication that
     /// lapsed and returns changes nothing.
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -20,17 +20,50 @@
 
 } // namespace
 
-void upstream_catalog::claim_address(replica& claimant)
+bool upstream_catalog::has_better_claim(
+    const replica& a, const replica& b) const
 {
-    const auto [found, added] =
-        by_address_.try_emplace(claimant.published.address, claimant.number);
-    if (added || found->second == claimant.number)
+    const auto named = [this](const replica& each) {
+        return named_services_.empty() ||
+               named_services_.contains(each.published.service);
+    };
+    if (a.misdirected != b.misdirected)
+        return b.misdirected;
+    if (named(a) != named(b))
+        return named(a);
+    return started_later(a.published, b.published);
+}
+
+void upstream_catalog::settle_address(const endpoint& address)
+{
+    const auto found = by_address_.find(address);
+    if (found == by_address_.end())
+        return;
+    const auto& claimants = found->second;
+    auto owner = claimants.front();
+    for (const auto number : claimants) {
+        if (has_better_claim(at(number), at(owner)))
+            owner = number;
+    }
+    for (const auto number : claimants)
+        at(number).address_taken = number != owner;
+}
+
+void upstream_catalog::mark_misdirected(replica_number number)
+{
+    at(number).misdirected = true;
+    settle_address(at(number).published.address);
+}
+
+void upstream_catalog::set_services(std::set<std::string, std::less<>> names)
+{
+    if (names == named_services_)
         return;
-    auto& other = at(found->second);
-    const bool won = started_later(claimant.published, other.published);
-    (won ? other : claimant).address_taken = true;
-    if (won)
-        found->second = claimant.number;
+    named_services_ = std::move(names);
+    for (const auto& [address, claimants] : by_address_) {
+        if (claimants.size() > 1)
+            settle_address(address);
+    }
 }
 
 void upstream_catalog::add(upstream_record record, time_point now)
@@ -51,7 +84,9 @@
     by_service_[record.service].push_back(added->number);
     added->published = std::move(record);
     replicas_.push_back(std::move(added));
-    claim_address(*replicas_.back());
+    const auto& address = replicas_.back()->published.address;
+    by_address_[address].push_back(replicas_.back()->number);
+    settle_address(address);
 }
 
 void upstream_catalog::remove(replica_number number)
@@ -66,9 +101,14 @@
                 removed.start_id,
                 at(number).leaving,
                 paused_until});
-    if (const auto owner = by_address_.find(removed.address);
-        owner != by_address_.end() && owner->second == number)
-        by_address_.erase(owner);
+    if (const auto at_address = by_address_.find(removed.address);
+        at_address != by_address_.end()) {
+        std::erase(at_address->second, number);
+        if (at_address->second.empty())
+            by_address_.erase(at_address);
+        else
+            settle_address(removed.address);
+    }
     auto& listed = by_service_[removed.service];
     std::erase(listed, number);
     const auto found = by_id_.find(removed.id);
@@ -106,9 +146,9 @@
     target.drain_lost_at.reset();
     target.cold_until = now + record.cold_start_remaining;
     if (record.position > target.published.position)
-        target.address_taken = false;
+        target.misdirected = false;
     target.published = std::move(record);
-    claim_address(target);
+    settle_address(target.published.address);
 }
 
 void upstream_catalog::withdraw(std::string_view id, time_point now)
@@ -216,7 +256,8 @@
 {
     const auto& published = candidate.published;
     if (published.draining || candidate.drain_lost_at || candidate.leaving ||
-        candidate.address_taken || excluded_.contains(published.domain))
+        candidate.address_taken || candidate.misdirected ||
+        excluded_.contains(published.domain))
         return replica_availability::excluded;
     const bool withdrawn =
         candidate.unpublished_at && !candidate.publication_lost;
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -399,7 +399,7 @@
         break;
     case forward_outcome::misdirected:
         health.on_unreachable(now);
-        context.catalog->mark_address_taken(ended.to);
+        context.catalog->mark_misdirected(ended.to);
         --part.ran;
         ++part.refusals;
         break;
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -448,3 +448,74 @@
     catalog.publish(again, start + seconds{6});
     CHECK_FALSE(only_replica(catalog).health.paused(start + seconds{6}));
 }
+
+// Guards against an entry of another program that takes a healthy upstream out
+// of use for good, by naming its address.
+TEST_CASE(
+    "discovery: an upstream of a service that nobody names takes no address",
+    "[discovery]")
+{
+    const auto availability_of = [](const upstream_catalog& catalog,
+                                    std::string_view id) {
+        return catalog.availability(catalog.at(*catalog.find(id)));
+    };
+    upstream_catalog catalog;
+    catalog.set_services({"s"});
+    catalog.publish(record_of("a"), start);
+    auto foreign = record_of("foreign", 9);
+    foreign.service = "other";
+    catalog.publish(foreign, start);
+    CHECK(availability_of(catalog, "a") == replica_availability::serving);
+    CHECK(
+        availability_of(catalog, "foreign") == replica_availability::excluded);
+
+    SECTION("the configuration names its service: the later one has it")
+    {
+        catalog.set_services({"s", "other"});
+        CHECK(availability_of(catalog, "a") == replica_availability::excluded);
+        CHECK(
+            availability_of(catalog, "foreign") ==
+            replica_availability::serving);
+    }
+    SECTION("it comes before the configuration")
+    {
+        upstream_catalog early;
+        early.publish(record_of("a"), start);
+        early.publish(foreign, start);
+        CHECK(availability_of(early, "a") == replica_availability::excluded);
+        early.set_services({"s"});
+        CHECK(availability_of(early, "a") == replica_availability::serving);
+    }
+}
+
+TEST_CASE(
+    "discovery: an address returns to the upstream that answers there",
+    "[discovery]")
+{
+    upstream_catalog catalog;
+    catalog.publish(record_of("a"), start);
+    catalog.publish(record_of("foreign", 9), start);
+    const auto a = *catalog.find("a");
+    const auto foreign = *catalog.find("foreign");
+    const auto availability = [&](replica_number number) {
+        return catalog.availability(catalog.at(number));
+    };
+    CHECK(availability(a) == replica_availability::excluded);
+
+    SECTION("after an answer of another one")
+    {
+        catalog.mark_misdirected(foreign);
+        CHECK(availability(a) == replica_availability::serving);
+        CHECK(availability(foreign) == replica_availability::excluded);
+        // Neither is used when the other one doesn't answer there either.
+        catalog.mark_misdirected(a);
+        CHECK(availability(a) == replica_availability::excluded);
+        CHECK(availability(foreign) == replica_availability::excluded);
+    }
+    SECTION("after the end of the other publication")
+    {
+        catalog.withdraw("foreign", start);
+        (void)catalog.expire(start + upstream_catalog::lapse_return);
+        CHECK(availability(a) == replica_availability::serving);
+    }
+}
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -137,7 +137,7 @@
                                                                   : "barred"},
              {"cold", replica.cold(now)},
              {"leaving", replica.leaving},
-             {"address_taken", replica.address_taken},
+             {"address_taken", replica.address_taken || replica.misdirected},
              {"rate_limit",
               replica.rate_limit ? json(*replica.rate_limit) : json()},
              {"paused", replica.health.paused(now)},
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <utility>
 
 namespace peridotward {
@@ -157,6 +158,10 @@
          {"routes", config->routes.size()},
          {"services", config->services.size()}});
     config_ = std::move(config);
+    std::set<std::string, std::less<>> named;
+    for (const auto& service : config_->services)
+        named.insert(service.name);
+    catalog_.set_services(std::move(named));
     load_shedders_.keep_only(*config_);
     quotas_.apply(config_->accounts, loop_->now());
     turns_.reset();
