gateway: a connection carries no request id twice

Cause: a late copy of a refusal bears the id of the next attempt of the same request when that goes to the same replica on the same connection, and ended it as not run. Change: a connection remembers the ids of its last 32 requests and doesn't carry them again. An answer without an id ends an attempt only on a connection that has carried nothing else; otherwise the attempt may have run.

--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -12,6 +12,8 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace peridotward {
 
@@ -34,6 +36,8 @@
     static constexpr milliseconds connect_timeout{500};
     /// Max size of an answer's body.
     static constexpr std::size_t max_answer_bytes = 16U << 20U;
+    /// Requests whose ids a connection remembers: those that it carried last.
+    static constexpr std::size_t remembered_ids = 32;
     /// Answers to earlier requests that are skipped before the connection is
     /// closed.
     static constexpr std::uint32_t max_mismatched_answers = 4;
@@ -85,6 +89,11 @@
     {
         return now < usable_until_;
     }
+    /// \returns Whether the connection has carried a request with this id, one
+    /// of the last `remembered_ids`. It must not carry another one: a late copy
+    /// of the earlier answer would look like the answer to the new attempt.
+    [[nodiscard]] bool has_carried(std::string_view request_id) const noexcept;
+
     [[nodiscard]] time_point idle_since() const noexcept { return idle_since_; }
 
     /// \returns The owner of the open request, or null.
@@ -114,6 +123,7 @@
     /// connection completes its answer.
     void on_connection_end(forward_outcome cause, bool orderly = false);
     void on_answer();
+    void remember(std::string_view request_id);
     void set_buffered(std::size_t bytes) noexcept;
     void record_answer_fields();
     void record_rate_limit();
@@ -137,6 +147,9 @@
     response_message answer_;
     std::optional<response_reader> reader_;
     std::uint32_t mismatched_answers_ = 0;
+    /// Hashes of the ids of the last requests, in a ring.
+    std::vector<std::uint64_t> carried_;
+    std::size_t carried_count_ = 0;
     std::size_t buffered_ = 0;
 };
 
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -130,6 +130,13 @@
     /// \returns Whether this instance reaches any upstream.
     [[nodiscard]] upstream_contact& contact() noexcept { return contact_; }
 
+    /// \returns The number of answers without a request id that could not be
+    /// tied to an attempt.
+    [[nodiscard]] std::uint64_t& untied_answers() noexcept
+    {
+        return untied_answers_;
+    }
+
     [[nodiscard]] reactor& loop() noexcept { return *loop_; }
     [[nodiscard]] upstream_catalog& catalog() noexcept { return *catalog_; }
     [[nodiscard]] const header_names& names() const noexcept { return *names_; }
@@ -171,6 +178,7 @@
     std::deque<replica_connections> connections_;
     upstream_contact contact_;
     std::uint64_t opened_ = 0;
+    std::uint64_t untied_answers_ = 0;
     std::size_t buffered_bytes_ = 0;
 };
 
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -1,3 +1,4 @@
+#include <peridotward/base/hash.hpp>
 #include <peridotward/gateway/load_field.hpp>
 #include <peridotward/gateway/retry_after.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
@@ -5,6 +6,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -92,10 +94,28 @@
         return;
     phase_ = phase::busy;
     pool_->contact().on_tried(replica_, pool_->loop().now());
+    remember(request_.request_id);
     request_.owner->on_attempt_written(request_.attempt);
     flush();
 }
 
+void upstream_connection::remember(std::string_view request_id)
+{
+    const auto hash = hash_of(request_id);
+    if (carried_.size() < remembered_ids)
+        carried_.push_back(hash);
+    else
+        carried_[carried_count_ % remembered_ids] = hash;
+    ++carried_count_;
+}
+
+bool upstream_connection::has_carried(
+    std::string_view request_id) const noexcept
+{
+    return std::find(carried_.begin(), carried_.end(), hash_of(request_id)) !=
+           carried_.end();
+}
+
 bool upstream_connection::withdraw(
     const attempt_owner& owner, std::uint32_t attempt) noexcept
 {
@@ -142,6 +162,7 @@
         return;
     }
     phase_ = phase::busy;
+    remember(request_.request_id);
     request_.owner->on_attempt_written(request_.attempt);
     flush();
 }
@@ -256,6 +277,14 @@
             on_connection_end(forward_outcome::broken);
         return;
     }
+    if (!answer_id && carried_count_ > 1 &&
+        !pool_->names().request_id.empty()) {
+        // May be a late copy of an earlier answer, so it doesn't tell whether
+        // the current request has run.
+        ++pool_->untied_answers();
+        on_connection_end(forward_outcome::broken);
+        return;
+    }
     const bool request_sent = written_ == output_.size();
     const bool reusable = answer_.keep_alive && request_sent &&
                           input_.empty() &&
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -48,7 +48,9 @@
                             now - connection.idle_since() < max_recent_idle;
         if (!connection.idle())
             ++busy;
-        else if (!connection.usable_at(now) || !recent)
+        else if (
+            !connection.usable_at(now) || !recent ||
+            connection.has_carried(request.request_id))
             unusable_connection = &connection;
         else if (idle_connection == nullptr)
             idle_connection = &connection;
--- a/gateway/tests/recording_owner.hpp
+++ b/gateway/tests/recording_owner.hpp
@@ -21,6 +21,7 @@
         upstream_request request;
         request.owner = this;
         request.attempt = attempt;
+        request.request_id = request_id;
         request.expires_at = pool.loop().now() + timeout;
         return pool.send(0, std::move(request), {max_connections});
     }
@@ -30,6 +31,7 @@
         return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     }
 
+    std::string request_id;
     std::vector<forward_outcome> ended;
 
 private:
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -28,9 +28,10 @@
             : std::atoi(target.c_str() + at + work_mark.size())};
 }
 
-standin_response make_not_executed(unsigned status)
+standin_response make_not_executed(unsigned status, const std::string& id)
 {
     auto response = make_response(status, "");
+    response.set("Peridotward-Request-Id", id);
     response.set("Peridotward-Not-Executed", "1");
     return response;
 }
@@ -87,7 +88,7 @@
 {
     const auto id = header_value(request, "Peridotward-Request-Id");
     if (header_value(request, "Peridotward-Expect-Instance") != replica->id) {
-        answer(make_not_executed(421), {});
+        answer(make_not_executed(421, id), {});
         return;
     }
     checker_->record_arrival({id, replica->start_name(), steady::now()});
@@ -106,7 +107,7 @@
     const bool turned_away = replica->pause > milliseconds{};
     if (turned_away || random_.unit() < replica->shed_share ||
         replica->running >= replica->slots + queue_size) {
-        auto refusal = make_not_executed(503);
+        auto refusal = make_not_executed(503, id);
         if (turned_away) {
             refusal.set(
                 "Retry-After",
