soak: early callers, late copies, foreign entries and processes that end

A process that ended by itself was taken for one that the run had stopped. New checks: no run at a server that is no replica, no end of a process without a signal.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -1,6 +1,8 @@
 #include "late_requests.hpp"
 #include "soak_environment.hpp"
 
+#include <peridotward/base/json.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <random>
@@ -12,6 +14,9 @@
 constexpr int max_stop_ms = 6500;
 constexpr milliseconds crash_delay{30};
 constexpr milliseconds restart_delay{2000};
+/// Servers of other programs, and the port of the first one.
+constexpr std::uint16_t foreign_servers = 4;
+constexpr std::uint16_t first_foreign_port = 13000;
 /// The part of a fleet that returns first.
 constexpr std::size_t first_part_divisor = 3;
 
@@ -526,6 +531,83 @@
     return {{"cut off", [&](auto& random) { cut_from_replicas(random); }}};
 }
 
+void soak_environment::add_foreign_servers()
+{
+    for (std::uint16_t i = 0; i < foreign_servers; ++i) {
+        replica_standin server;
+        server.id = invariant_checker::foreign_id + std::string{"-"} +
+                    std::to_string(i);
+        server.service = "desk";
+        server.domain = "d0";
+        server.host = addresses_.replica_host();
+        server.port = static_cast<std::uint16_t>(first_foreign_port + i);
+        replicas_.add_foreign(std::move(server));
+    }
+}
+
+void soak_environment::write_foreign_entry(random_source& random)
+{
+    const auto number = random.below(foreign_servers);
+    const auto key = "servers/" + std::string{invariant_checker::foreign_id} +
+                     "-" + std::to_string(number);
+    json entry{
+        {"service", "desk"},
+        {"address",
+         addresses_.replica_host() + ":" +
+             std::to_string(first_foreign_port + number)},
+        {"zone", "d0"},
+        {"version", "v1"},
+        {"slots", 4},
+        {"state", "ready"},
+        {"warmupLeftMs", 0},
+        {"sequence", 1}};
+    std::string text;
+    switch (random.below(4)) {
+    case 0:
+        for (const char* field : {"version", "warmupLeftMs", "sequence"}) {
+            if (random.below(2) == 0)
+                entry.erase(field);
+        }
+        if (entry.size() == 8)
+            entry.erase("sequence");
+        text = entry.dump();
+        break;
+    case 1: {
+        // The address of a healthy replica.
+        const auto& other = replicas_.all()[random.below(3)];
+        entry["service"] = "elsewhere";
+        entry["address"] =
+            other->host + ":" + std::to_string(other->published_port);
+        text = entry.dump();
+        break;
+    }
+    case 2: {
+        const std::size_t depth = 100'000;
+        text = entry.dump();
+        const std::string slots = "\"slots\":4";
+        text.replace(
+            text.find(slots),
+            slots.size(),
+            "\"slots\":" + std::string(depth, '[') + std::string(depth, ']'));
+        break;
+    }
+    default:
+        entry["address"] = addresses_.replica_host() + ":99999";
+        entry["warmupLeftMs"] = 1e300;
+        text = entry.dump();
+        break;
+    }
+    run_on_standin_thread([&] { store_.put(key, text); });
+    sleep_random(random, milliseconds{500}, 3000);
+    run_on_standin_thread([&] { store_.remove(key); });
+}
+
+std::vector<fault_kind> soak_environment::entry_faults()
+{
+    return {
+        {"foreign entry", [&](auto& random) { write_foreign_entry(random); }}};
+}
+
 std::vector<fault_kind> soak_environment::stop_faults()
 {
     return {{"late requests", [&](auto& random) {
@@ -565,6 +647,7 @@
              {"replace", [&](auto& random) { replace_replica(random); }}}};
     default:
         mixed.front().push_back(stop_faults().front());
+        mixed.push_back(entry_faults());
         return mixed;
     }
 }
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -17,7 +17,8 @@
     : program_{std::move(program)},
       folder_{std::move(folder)},
       addresses_{addresses},
-      processes_(static_cast<std::size_t>(size), 0)
+      processes_(static_cast<std::size_t>(size), 0),
+      ending_(static_cast<std::size_t>(size), false)
 {
     for (int i = 0; i < size; ++i)
         start(i);
@@ -79,11 +80,34 @@
             nullptr);
         ::_exit(127);
     }
+    const std::lock_guard lock{mutex_};
     processes_[static_cast<std::size_t>(instance)] = child;
+    ending_[static_cast<std::size_t>(instance)] = false;
 }
 
-void fleet::signal(int instance, int number) const
+std::vector<int> fleet::restart_ended()
 {
+    std::vector<int> ended;
+    {
+        const std::lock_guard lock{mutex_};
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            if (processes_[i] > 0 && !ending_[i] &&
+                ::waitpid(processes_[i], nullptr, WNOHANG) == processes_[i]) {
+                processes_[i] = 0;
+                ended.push_back(static_cast<int>(i));
+            }
+        }
+    }
+    for (const int instance : ended)
+        start(instance);
+    return ended;
+}
+
+void fleet::signal(int instance, int number)
+{
+    const std::lock_guard lock{mutex_};
+    if (number == SIGKILL || number == SIGTERM)
+        ending_[static_cast<std::size_t>(instance)] = true;
     const auto process = processes_[static_cast<std::size_t>(instance)];
     if (process > 0)
         ::kill(process, number);
@@ -91,14 +115,23 @@
 
 bool fleet::wait_for_exit(int instance, int max_wait_ms)
 {
-    auto& process = processes_[static_cast<std::size_t>(instance)];
+    const auto position = static_cast<std::size_t>(instance);
+    pid_t process = 0;
+    {
+        const std::lock_guard lock{mutex_};
+        process = processes_[position];
+    }
     if (process <= 0)
         return true;
+    const auto forget = [&] {
+        const std::lock_guard lock{mutex_};
+        processes_[position] = 0;
+    };
     const auto kill_time = std::chrono::steady_clock::now() +
                            std::chrono::milliseconds{max_wait_ms};
     while (std::chrono::steady_clock::now() < kill_time) {
         if (::waitpid(process, nullptr, WNOHANG) == process) {
-            process = 0;
+            forget();
             return true;
         }
         std::this_thread::sleep_for(std::chrono::milliseconds{10});
@@ -106,7 +139,7 @@
     ::kill(process, SIGCONT);
     ::kill(process, SIGKILL);
     ::waitpid(process, nullptr, 0);
-    process = 0;
+    forget();
     return false;
 }
 
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,10 @@
     /// Starts the process of `instance`; its log is appended to.
     /// \throws std::runtime_error when the fork fails.
     void start(int instance);
-    void signal(int instance, int number) const;
+    void signal(int instance, int number);
+    /// \returns The instances whose processes ended without a signal of the
+    /// run, since the last call; they are started again.
+    std::vector<int> restart_ended();
 
     /// Waits for a signalled process to exit and kills it after `max_wait_ms`.
     /// \returns Whether the process exited before it was killed.
@@ -68,7 +72,10 @@
     std::string program_;
     std::string folder_;
     run_addresses addresses_;
+    std::mutex mutex_; ///< Guards the members below.
     std::vector<pid_t> processes_;
+    /// Whether a signal that ends the process was sent.
+    std::vector<bool> ending_;
 };
 
 } // namespace peridotward::soak
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -50,6 +50,20 @@
     return found;
 }
 
+std::string
+invariant_checker::body_of(const std::string& id, std::size_t min_size)
+{
+    auto body = "answer to " + id;
+    body.resize(std::max(body.size(), min_size), '.');
+    return body;
+}
+
+void invariant_checker::record_own_end(int instance)
+{
+    const std::lock_guard lock{mutex_};
+    own_ends_.push_back(instance);
+}
+
 void invariant_checker::record_attempt(attempt_record record)
 {
     const std::lock_guard lock{mutex_};
@@ -210,6 +224,9 @@
     check_crashes(violations);
     check_cuts(violations);
     check_recoveries(violations);
+    for (const int instance : own_ends_)
+        violations.push_back(
+            "instance " + std::to_string(instance) + " ended by itself");
     return violations;
 }
 
@@ -221,9 +238,14 @@
             continue;
         if (record.path.starts_with("/search/"))
             check_search(record, violations);
-        else if (record.body != "answer to " + record.id)
+        else if (
+            record.body !=
+            body_of(
+                record.id,
+                record.path.starts_with("/large/") ? large_answer_bytes : 0))
             violations.push_back(
-                "mixed: " + record.id + " got \"" + record.body + "\"");
+                "mixed: " + record.id + " got \"" + record.body.substr(0, 80) +
+                "\"");
     }
 }
 
@@ -287,6 +309,10 @@
             violations.push_back("unasked: " + execution.id);
             continue;
         }
+        if (execution.replica.starts_with(foreign_id))
+            violations.push_back(
+                "run by a foreign server: " + execution.id + " at " +
+                execution.replica);
         const int instance = found->second->instance;
         if (const auto drained = drain_times_.find(execution.replica);
             drained != drain_times_.end() &&
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -124,6 +124,11 @@
     static constexpr double extra_attempt_base = 56;
     static constexpr milliseconds extra_attempt_window{10000};
 
+    /// Size of an answer that is larger than the buffers of a connection.
+    static constexpr std::size_t large_answer_bytes = 256U << 10U;
+    /// Begins the ids of servers that are no replicas.
+    static constexpr const char* foreign_id = "foreign";
+
     /// Prefix of the requests to the service whose replicas crash.
     static constexpr const char* brittle_path = "/brittle/";
     /// Time after the third crash by a request from which it may arrive
@@ -164,6 +169,8 @@
     void record_evacuation(const std::string& domain, bool begins);
     /// Records that `replica` drains from now on.
     void record_drain(const std::string& replica);
+    /// Records that a process ended without a signal.
+    void record_own_end(int instance);
     /// Records that the fleet must have recovered by now, until `until`.
     void record_recovery(steady::time_point until);
     /// Records that a configuration with the route `path` is published now.
@@ -179,6 +186,10 @@
     /// \returns Executions beyond the first of each request at each service.
     [[nodiscard]] std::size_t extra_attempts() const;
 
+    /// \returns The body with which a replica answers request `id`, filled up
+    /// to `min_size`.
+    [[nodiscard]] static std::string
+    body_of(const std::string& id, std::size_t min_size);
     /// \returns The records with which a replica of `service` answers request
     /// `id`.
     [[nodiscard]] static std::vector<std::string>
@@ -228,6 +239,7 @@
         std::pair<steady::time_point, steady::time_point>>>
         evacuations_;
     std::vector<std::pair<steady::time_point, steady::time_point>> recoveries_;
+    std::vector<int> own_ends_;
     std::map<std::string, steady::time_point> crash_times_;
     std::map<std::string, steady::time_point> drain_times_;
     std::map<std::string, steady::time_point> publication_times_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -5,7 +5,9 @@
 #include <atomic>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <mutex>
+#include <string>
 #include <string_view>
 #include <thread>
 
@@ -139,6 +141,12 @@
                           << " requests, " << result.extra_attempts
                           << " repeats, " << result.violations.size()
                           << " broken (" << result.faults << ")" << std::endl;
+                std::map<std::string, int> kinds;
+                for (const auto& violation : result.violations)
+                    ++kinds[violation.substr(
+                        0, violation.find_first_of(":0123456789"))];
+                for (const auto& [kind, count] : kinds)
+                    std::cout << "  " << kind << ": " << count << "\n";
                 for (std::size_t i = 0; i < result.violations.size() && i < 5;
                      ++i)
                     std::cout << "    " << result.violations[i] << std::endl;
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -1,8 +1,10 @@
+#include "early_callers.hpp"
 #include "late_requests.hpp"
 #include "soak_environment.hpp"
 
 #include <peridotward/base/json.hpp>
 
+#include <atomic>
 #include <filesystem>
 #include <utility>
 
@@ -21,18 +23,26 @@
 constexpr milliseconds startup_time{3000};
 /// Replicas of the service whose replicas crash.
 constexpr int brittle_replicas = 4;
+/// Share of the answers that replicas send twice.
+constexpr double late_copy_share = 0.03;
+constexpr int early_caller_count = 6;
 /// Share of the requests after which callers open a new connection.
 constexpr double reconnect_share = 0.1;
 /// Replicas of the service of late requests; enough for all of these.
 constexpr int slow_replicas = 6;
 constexpr std::uint32_t slow_slots = 100;
 
+/// Longer records are entries of other programs.
+constexpr std::size_t max_entry_bytes = 4096;
+
 /// \returns `record` with the port of the second link, if it is a replica's.
 std::string with_second_link(const std::string& record)
 {
-    auto changed = json::parse(record);
+    auto changed = json::parse(record, nullptr, false);
     const auto found = changed.find("address");
-    if (found == changed.end())
+    // Entries of other programs stay as they are.
+    if (!changed.is_object() || found == changed.end() ||
+        record.size() > max_entry_bytes)
         return record;
     const auto address = found->get<std::string>();
     const auto colon = address.rfind(':');
@@ -80,6 +90,10 @@
     add_service(brittle_service, brittle_replicas);
     if (options.series == soak_series::all)
         add_service(slow_service, slow_replicas, slow_slots);
+    if (plays_hostile_parts()) {
+        replicas_.late_copy_share = late_copy_share;
+        add_foreign_servers();
+    }
     replicas_.on_crash = [this](const auto& replica) { crash(replica); };
     publish_config();
     thread_ = std::thread{[this] { context_.run(); }};
@@ -170,6 +184,8 @@
     }
     auto paths = added_paths_;
     paths.push_back("/read/");
+    if (plays_hostile_parts())
+        paths.emplace_back(large_path);
     for (const auto& path : paths) {
         auto read = route(path, "safe");
         read["service"] = "desk";
@@ -202,6 +218,11 @@
         {options_->callers, options_->pause_ms, all ? reconnect_share : 0},
         seed * 1000};
     callers_ = &caller_threads;
+    early_callers early_threads{
+        checker_,
+        gateways,
+        plays_hostile_parts() ? early_caller_count : 0,
+        seed * 1000 + 500};
     const auto until = steady::now() + std::chrono::seconds{options_->seconds};
     // The series of faults run at the same time.
     std::vector<std::thread> series;
@@ -213,8 +234,19 @@
             });
         series_seed += 7;
     }
+    std::atomic<bool> faults_ended = false;
+    std::thread watcher{[&] {
+        while (!faults_ended) {
+            for (const int instance : gateways.restart_ended())
+                checker_.record_own_end(instance);
+            std::this_thread::sleep_for(milliseconds{100});
+        }
+    }};
     for (auto& thread : series)
         thread.join();
+    faults_ended = true;
+    watcher.join();
+    early_threads.stop();
     std::this_thread::sleep_for(invariant_checker::settle_time);
     const auto settled = steady::now();
     std::this_thread::sleep_for(invariant_checker::checked_time);
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -64,6 +64,12 @@
     {
         return options_->series == soak_series::all && seed_ % profiles == 1;
     }
+    /// \returns Whether the run plays entries of other programs, late copies of
+    /// answers and early callers.
+    [[nodiscard]] bool plays_hostile_parts() const noexcept
+    {
+        return options_->series == soak_series::all && seed_ % profiles == 2;
+    }
     /// \returns The limit of the connections to one replica of `service`.
     [[nodiscard]] static int max_connections(const std::string& service)
     {
@@ -121,6 +127,7 @@
     [[nodiscard]] std::vector<fault_kind> crash_faults();
     [[nodiscard]] std::vector<fault_kind> cut_faults();
     [[nodiscard]] std::vector<fault_kind> stop_faults();
+    [[nodiscard]] std::vector<fault_kind> entry_faults();
     /// \returns The faults of each series, which run at the same time.
     [[nodiscard]] std::vector<std::vector<fault_kind>> series_of_run();
     void
@@ -137,6 +144,12 @@
     /// Stops an instance of which callers hold idle connections; see
     /// `late_requests`.
     void stop_with_late_requests(random_source& random);
+    /// Adds servers that are no replicas, whose entries `write_foreign_entry`
+    /// writes.
+    void add_foreign_servers();
+    /// Writes an entry of another program for a while: incomplete, of a service
+    /// that nobody names, or one that can't be read.
+    void write_foreign_entry(random_source& random);
     /// Ends all processes at the same moment, sometimes the replicas' too, and
     /// starts them again.
     void end_all(random_source& random);
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -49,6 +49,31 @@
 void replicas::add(replica_standin replica)
 {
     auto added = std::make_shared<replica_standin>(std::move(replica));
+    listen_for(added);
+    publish(*added);
+    all_.push_back(std::move(added));
+}
+
+void replicas::add_foreign(replica_standin server)
+{
+    server.foreign = true;
+    listen_for(std::make_shared<replica_standin>(std::move(server)));
+}
+
+respond replicas::with_late_copies(respond answer)
+{
+    if (late_copy_share <= 0)
+        return answer;
+    return [this, answer = std::move(answer)](
+               standin_response response, wire_fault fault) {
+        fault.copy_late = fault.cut_at >= 1.0 && !fault.hang && !fault.reset &&
+                          random_.unit() < late_copy_share;
+        answer(std::move(response), fault);
+    };
+}
+
+void replicas::listen_for(const std::shared_ptr<replica_standin>& added)
+{
     auto hooks = std::make_shared<listener_hooks>();
     hooks->on_connect = [added] {
         const bool accepted = added->max_connections == 0 ||
@@ -58,11 +83,10 @@
     };
     hooks->on_disconnect = [added] { --added->connections; };
     hooks->on_request = [this, added](standin_request request, respond answer) {
-        on_request(added, std::move(request), std::move(answer));
+        on_request(
+            added, std::move(request), with_late_copies(std::move(answer)));
     };
     listen(*context_, added->host, added->port, hooks);
-    publish(*added);
-    all_.push_back(std::move(added));
 }
 
 void replicas::publish(const replica_standin& replica, bool draining)
@@ -162,7 +186,11 @@
             response.body() += record;
     }
     else
-        response.body() = "answer to " + id;
+        response.body() = invariant_checker::body_of(
+            id,
+            std::string{request.target()}.starts_with(large_path)
+                ? invariant_checker::large_answer_bytes
+                : 0);
     response.prepare_payload();
     const auto service_time =
         min_service_time + milliseconds{random_.below(service_time_spread_ms)} +
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -18,6 +18,9 @@
 /// Share of answers that each replica breaks off when no fault is injected.
 inline constexpr double base_break_share = 0.005;
 
+/// Requests below it get an answer of `large_answer_bytes`.
+inline constexpr std::string_view large_path = "/large/";
+
 /// The digits that follow in a target are the milliseconds of its work.
 inline constexpr std::string_view work_mark = "work-";
 
@@ -48,6 +51,8 @@
     milliseconds pause{};
     /// Requests a second that all answers name as a limit; 0 for none.
     double rate_limit = 0;
+    /// Its entry in the store isn't one of a replica.
+    bool foreign = false;
     bool has_fault = false; ///< Another fault must leave the replica alone.
 
     [[nodiscard]] std::string start_name() const
@@ -68,8 +73,13 @@
 
     /// Listens for `replica` and publishes it in the store.
     void add(replica_standin replica);
+    /// Listens for a server of another program, which publishes nothing itself.
+    void add_foreign(replica_standin server);
     /// Writes the entry of the replica to the store.
     void publish(const replica_standin& replica, bool draining = false);
+    /// Share of all answers that a replica sends a second time, late.
+    double late_copy_share = 0;
+
     /// Called when a request has crashed the replica.
     std::function<void(const std::shared_ptr<replica_standin>&)> on_crash;
 
@@ -83,6 +93,9 @@
         const std::shared_ptr<replica_standin>& replica,
         testing::standin_request request,
         testing::respond answer);
+    void listen_for(const std::shared_ptr<replica_standin>& replica);
+    /// \returns `answer`, which sends some responses twice.
+    [[nodiscard]] testing::respond with_late_copies(testing::respond answer);
 
     testing::net::io_context* context_;
     invariant_checker* checker_;
--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <sstream>
+#include <utility>
 
 namespace peridotward::testing {
 
@@ -90,11 +91,15 @@
         close_on_next_ = fault.close;
         response.keep_alive(keep_alive_);
         response.prepare_payload();
-        if (fault.cut_at >= 1.0 && !fault.drip) {
+        if (fault.cut_at >= 1.0 && !fault.drip && !fault.copy_late &&
+            late_copy_.empty()) {
             write_response(std::move(response));
             return;
         }
-        bytes_ = to_bytes(response);
+        const auto response_bytes = to_bytes(response);
+        bytes_ = std::exchange(late_copy_, {}) + response_bytes;
+        if (fault.copy_late)
+            late_copy_ = response_bytes;
         if (fault.cut_at < 1.0) {
             const auto full_size = static_cast<double>(bytes_.size());
             bytes_.resize(static_cast<std::size_t>(full_size * fault.cut_at));
@@ -176,6 +181,7 @@
         parser_;
     standin_response response_;
     std::string bytes_;
+    std::string late_copy_;
     std::array<char, 4096> discarded_{};
     bool keep_alive_ = true;
     bool close_on_next_ = false;
--- a/tests/standins/http_standin.hpp
+++ b/tests/standins/http_standin.hpp
@@ -28,6 +28,8 @@
     bool close = false;      ///< Respond with keep-alive, then close the
                              ///< connection when the next request arrives.
     bool drip = false;       ///< Send one byte every 20 ms.
+    /// Send the response again, before the next one on the connection.
+    bool copy_late = false;
 };
 
 class connection;
