soak: services that refuse most requests, and early callers behind small windows

The segments of the loopback network held most of a large answer. Change: all replicas of a service refuse 0.6 of the requests for some seconds and send 0.2 of their answers twice; early callers have segments of 1448 bytes.

--- a/soak/early_callers.cpp
+++ b/soak/early_callers.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -18,8 +20,10 @@
 
 namespace {
 
-/// Of a caller behind an ordinary network; small against a large answer.
+/// Of a caller behind an ordinary network; small against a large answer. On the
+/// loopback network the segments would hold most of an answer.
 constexpr int receive_buffer_bytes = 16384;
+constexpr int segment_bytes = 1448;
 constexpr milliseconds deadline{2000};
 constexpr timeval receive_timeout{3, 0};
 constexpr std::uint64_t max_read_pause_ms = 150;
@@ -87,6 +91,12 @@
         error_code code;
         socket.set_option(
             net::socket_base::receive_buffer_size{receive_buffer_bytes}, code);
+        ::setsockopt(
+            socket.native_handle(),
+            IPPROTO_TCP,
+            TCP_MAXSEG,
+            &segment_bytes,
+            sizeof segment_bytes);
         ::setsockopt(
             socket.native_handle(),
             SOL_SOCKET,
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -14,6 +14,11 @@
 constexpr int max_stop_ms = 6500;
 constexpr milliseconds crash_delay{30};
 constexpr milliseconds restart_delay{2000};
+/// Share of the requests that all replicas of a service refuse, and of their
+/// answers that are sent twice meanwhile. A refused request comes to the same
+/// replica again only if the others refuse it, too.
+constexpr double service_shed_share = 0.6;
+constexpr double shed_copy_share = 0.2;
 /// Servers of other programs, and the port of the first one.
 constexpr std::uint16_t foreign_servers = 4;
 constexpr std::uint16_t first_foreign_port = 13000;
@@ -602,10 +607,28 @@
     run_on_standin_thread([&] { store_.remove(key); });
 }
 
+void soak_environment::shed_at_service(random_source& random)
+{
+    const auto set_shed = [&](double share) {
+        run_on_standin_thread([&] {
+            for (const auto& replica : replicas_.all()) {
+                if (replica->service == "desk")
+                    replica->shed_share = share;
+            }
+            replicas_.late_copy_share =
+                share > 0 ? shed_copy_share : late_copy_share;
+        });
+    };
+    set_shed(service_shed_share);
+    sleep_random(random, milliseconds{1500}, 2500);
+    set_shed(0);
+}
+
 std::vector<fault_kind> soak_environment::entry_faults()
 {
     return {
-        {"foreign entry", [&](auto& random) { write_foreign_entry(random); }}};
+        {"foreign entry", [&](auto& random) { write_foreign_entry(random); }},
+        {"shed", [&](auto& random) { shed_at_service(random); }}};
 }
 
 std::vector<fault_kind> soak_environment::stop_faults()
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds startup_time{3000};
 /// Replicas of the service whose replicas crash.
 constexpr int brittle_replicas = 4;
-/// Share of the answers that replicas send twice.
-constexpr double late_copy_share = 0.03;
 constexpr int early_caller_count = 6;
 /// Share of the requests after which callers open a new connection.
 constexpr double reconnect_share = 0.1;
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -31,6 +31,8 @@
 {
 public:
     static constexpr int replicas_per_service = 3;
+    /// Share of the answers that replicas send twice, late.
+    static constexpr double late_copy_share = 0.03;
     /// Kinds of runs, which the seed selects.
     static constexpr std::uint64_t profiles = 3;
 
@@ -150,6 +152,9 @@
     /// Writes an entry of another program for a while: incomplete, of a service
     /// that nobody names, or one that can't be read.
     void write_foreign_entry(random_source& random);
+    /// Lets all replicas of a service refuse most requests, and send many
+    /// answers twice.
+    void shed_at_service(random_source& random);
     /// Ends all processes at the same moment, sometimes the replicas' too, and
     /// starts them again.
     void end_all(random_source& random);
