--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -494,7 +494,11 @@
             violations.push_back(
                 std::to_string(count) + " requests to the paused replica " +
                 notice.replica_start + " by instance " +
-                std::to_string(instance));
+                std::to_string(instance) + " within " +
+                milliseconds_text(notice.pause) + " of the refusal of " +
+                notice.id + ", whose caller got " +
+                std::to_string(found->second->status) + " after " +
+                milliseconds_text(found->second->ended - found->second->sent));
     }
 }
 
