--- /dev/null
+++ b/review/second/tests/cases.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "standins.hpp"
+
+namespace review {
+
+/// Each case writes `record.txt` into `folder` and returns an exit code of the
+/// script that starts it.
+
+/// Configurations change while all replicas are silent.
+int config_in_the_dark(const std::string& folder);
+
+} // namespace review
