--- a/review/second/tests/cases.hpp
+++ b/review/second/tests/cases.hpp
@@ -10,4 +10,8 @@
 /// Configurations change while all replicas are silent.
 int config_in_the_dark(const std::string& folder);
 
+/// Clients are late to read a large answer, and send their next request
+/// meanwhile.
+int late_reader(const std::string& folder);
+
 } // namespace review
--- a/review/second/tests/main.cpp
+++ b/review/second/tests/main.cpp
@@ -14,6 +14,8 @@
     try {
         if (name == "config-in-the-dark")
             return review::config_in_the_dark(argv[2]);
+        if (name == "late-reader")
+            return review::late_reader(argv[2]);
     }
     catch (const std::exception& failure) {
         std::cerr << "not run: " << failure.what() << "\n";
