--- a/review/second/tests/cases.hpp
+++ b/review/second/tests/cases.hpp
@@ -14,4 +14,7 @@
 /// meanwhile.
 int late_reader(const std::string& folder);
 
+/// Many clients are late to read large answers.
+int late_readers(const std::string& folder);
+
 } // namespace review
--- a/review/second/tests/main.cpp
+++ b/review/second/tests/main.cpp
@@ -16,6 +16,8 @@
             return review::config_in_the_dark(argv[2]);
         if (name == "late-reader")
             return review::late_reader(argv[2]);
+        if (name == "late-readers")
+            return review::late_readers(argv[2]);
     }
     catch (const std::exception& failure) {
         std::cerr << "not run: " << failure.what() << "\n";
