review: case 9, foreign keys that withdraw live replicas

Cause: a watched entry that can't be decoded withdraws the replica whose id is the last segment of its key, whatever stands before it. Change: a script that puts three such entries beside the replicas of a route that was added later.

--- a/review/second/tests/cases.hpp
+++ b/review/second/tests/cases.hpp
@@ -17,4 +17,7 @@
 /// Many clients are late to read large answers.
 int late_readers(const std::string& folder);
 
+/// Another writer's entries have keys that end like those of replicas.
+int foreign_keys(const std::string& folder);
+
 } // namespace review
--- a/review/second/tests/main.cpp
+++ b/review/second/tests/main.cpp
@@ -18,6 +18,8 @@
             return review::late_reader(argv[2]);
         if (name == "late-readers")
             return review::late_readers(argv[2]);
+        if (name == "foreign-keys")
+            return review::foreign_keys(argv[2]);
     }
     catch (const std::exception& failure) {
         std::cerr << "not run: " << failure.what() << "\n";
