core, gateway: a request keeps its route together with the configuration

Cause: forward_operation::on_upstreams_lost passed the route of a request to relay_operation, which kept a plain pointer to it and the configuration in force, not the one that owns the route. When the forward operation ended, the older configuration was freed, and the end of the relay read the route's name in it. The digest of the route was computed with the services of the newer configuration.

Change: pinned_route holds a route and its configuration; forward_config gives out no route or digest without it. Accounts share their configuration, latency profiles are counted. A relayed request states the version under which it was admitted.

Why it works: a route can't be kept without what owns it.

--- a/core/include/peridotward/core/accounts/authentication.hpp
+++ b/core/include/peridotward/core/accounts/authentication.hpp
@@ -47,15 +47,15 @@
     authentication_outcome outcome = authentication_outcome::accepted;
     /// The account that holds the key; null if the route needs none and the
     /// request names none.
-    const client_account* account = nullptr;
+    client_account_ptr account;
 };
 
-/// \brief Decides whether a request may use `route`, one of `config`.
+/// \brief Decides whether a request may use `route` with the keys of `config`.
 ///
 /// \remarks On a route that is open to all, or without any accounts, every
 /// request is accepted; a known key names its account all the same.
 [[nodiscard]] authentication authenticate(
-    const forward_config& config,
+    const forward_config_ptr& config,
     const forward_route& route,
     const request_credentials& credentials);
 
--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -6,6 +6,7 @@
 #include <peridotward/core/gather/latency_profile.hpp>
 #include <peridotward/core/gather/request_deadlines.hpp>
 #include <peridotward/core/placement/replica_selector.hpp>
+#include <peridotward/core/routing/pinned_route.hpp>
 
 #include <algorithm>
 #include <cstdint>
@@ -125,18 +126,15 @@
     /// which the part is given up: the request may be what ends them.
     static constexpr std::uint32_t max_interruptions = 2;
 
-    /// \param config Kept alive until the request is destroyed.
-    /// \param route A route of `config`.
     /// \param services The service of each part.
     /// \param times Deadlines of the request.
-    /// \param account The client account that sent it, one of `config`, or
-    /// null.
+    /// \param account The client account that sent it, one of the route's
+    /// configuration, or null.
     forwarded_request(
-        forward_config_ptr config,
-        const forward_route& route,
+        pinned_route route,
         std::vector<forward_service_index> services,
         forward_times times,
-        const client_account* account = nullptr);
+        client_account_ptr account = nullptr);
 
     /// \brief Makes the request a trial: one part is sent to one replica,
     /// without a hedge, and the others follow when that replica has survived
@@ -187,16 +185,13 @@
     [[nodiscard]] time_point next_wakeup() const noexcept;
 
     [[nodiscard]] bool ended() const noexcept { return ended_; }
-    [[nodiscard]] const forward_route& route() const noexcept
-    {
-        return *route_;
-    }
+    [[nodiscard]] const pinned_route& route() const noexcept { return route_; }
     [[nodiscard]] const forward_config_ptr& config() const noexcept
     {
-        return config_;
+        return route_.config();
     }
     /// \returns The client account that sent the request, or null.
-    [[nodiscard]] const client_account* account() const noexcept
+    [[nodiscard]] const client_account_ptr& account() const noexcept
     {
         return account_;
     }
@@ -210,7 +205,7 @@
     /// \returns The service of a part.
     [[nodiscard]] const forward_service& service(std::uint32_t part) const
     {
-        return config_->services[parts_[part].service];
+        return config()->services[parts_[part].service];
     }
     [[nodiscard]] const forward_times& times() const noexcept { return times_; }
     [[nodiscard]] std::uint32_t part_count() const noexcept
@@ -376,9 +371,8 @@
         const latency_profile& profile,
         time_point now);
 
-    forward_config_ptr config_;
-    const forward_route* route_;
-    const client_account* account_;
+    pinned_route route_;
+    client_account_ptr account_;
     forward_times times_;
     std::vector<part_state> parts_;
     std::vector<attempt_state> attempts_;
--- a/core/include/peridotward/core/gather/latency_profile.hpp
+++ b/core/include/peridotward/core/gather/latency_profile.hpp
@@ -2,10 +2,15 @@
 
 #include <peridotward/core/placement/latency_sketch.hpp>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 namespace peridotward {
 
 /// \brief Quantiles of the recent latencies of one kind of request.
 class latency_profile
+    : public boost::
+          intrusive_ref_counter<latency_profile, boost::thread_unsafe_counter>
 {
 public:
     /// Answers needed before the quantiles are reported.
@@ -30,4 +35,6 @@
     duration hedge_after_{};
 };
 
+using latency_profile_ptr = boost::intrusive_ptr<latency_profile>;
+
 } // namespace peridotward
--- a/core/include/peridotward/core/routing/forward_config.hpp
+++ b/core/include/peridotward/core/routing/forward_config.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +16,8 @@
 
 namespace peridotward {
 
+class pinned_route;
+
 /// \brief Whether a forwarded request can be retried and hedged.
 enum class retry_safety : std::uint8_t
 {
@@ -101,24 +104,28 @@
     caller_limits limits;
     account_directory accounts; ///< Empty: requests need no key.
 
-    /// \brief Builds the index for `find`. Must be called once, after `routes`
-    /// is complete.
+    /// \brief Builds the index for `pinned_route::find`. Must be called once,
+    /// after `routes` is complete.
     void build_index();
 
-    /// \param host Without port, in lower case.
-    /// \param path Without query string.
-    /// \returns The route of `host` with the longest matching prefix, or null.
-    [[nodiscard]] const forward_route*
+private:
+    friend class pinned_route;
+
+    /// \returns The index in `routes` of the route of `host` with the longest
+    /// matching prefix, or nothing.
+    [[nodiscard]] std::optional<std::size_t>
     find(std::string_view host, std::string_view path) const;
 
     /// \returns A hash of all that decides how requests of `route`, one of
     /// `routes`, are handled.
     [[nodiscard]] std::uint64_t digest_of(const forward_route& route) const;
 
-private:
     std::unordered_map<std::string, std::uint32_t> by_prefix_;
 };
 
 using forward_config_ptr = std::shared_ptr<const forward_config>;
 
+/// A client account, which keeps the configuration that owns it; may be null.
+using client_account_ptr = std::shared_ptr<const client_account>;
+
 } // namespace peridotward
--- a/core/src/accounts/authentication.cpp
+++ b/core/src/accounts/authentication.cpp
@@ -46,11 +46,11 @@
 } // namespace
 
 authentication authenticate(
-    const forward_config& config,
+    const forward_config_ptr& config,
     const forward_route& route,
     const request_credentials& credentials)
 {
-    const bool key_needed = !config.accounts.empty() && !route.open_to_all;
+    const bool key_needed = !config->accounts.empty() && !route.open_to_all;
     const auto result = [&](authentication_outcome outcome) {
         return authentication{
             key_needed ? outcome : authentication_outcome::accepted, nullptr};
@@ -60,10 +60,11 @@
     const auto key = key_in(credentials.value, credentials.scheme);
     if (credentials.fields > 1 || !key)
         return result(authentication_outcome::malformed);
-    const auto* account = config.accounts.find(*key);
+    const auto* account = config->accounts.find(*key);
     if (account == nullptr)
         return result(authentication_outcome::unknown_key);
-    return {authentication_outcome::accepted, account};
+    return {
+        authentication_outcome::accepted, client_account_ptr{config, account}};
 }
 
 } // namespace peridotward
--- a/core/src/experiment/forward_experiment.cpp
+++ b/core/src/experiment/forward_experiment.cpp
@@ -250,15 +250,13 @@
         now_ + properties.target - milliseconds{7},
         now_ + properties.timeout - milliseconds{12},
         now_ + properties.timeout};
-    const auto& route = config_->routes[kind];
+    const pinned_route route{config_, kind};
+    client_account_ptr sender;
+    if (!config_->accounts.empty())
+        sender = {config_, &config_->accounts.accounts()[account]};
     const auto request = std::make_shared<simulated_request>(simulated_request{
         &owner,
-        {config_,
-         route,
-         route.shards,
-         times,
-         config_->accounts.empty() ? nullptr
-                                   : &config_->accounts.accounts()[account]},
+        {route, route->shards, times, std::move(sender)},
         now_ - experiment_start >= warm_up});
     request->kind = kind;
     request->account = account;
@@ -492,7 +490,7 @@
         return false;
     const auto repeated = std::make_shared<simulated_request>(simulated_request{
         instances_[random_.below(instances_.size())].get(),
-        {config_, state.route(), state.route().shards, times, state.account()},
+        {state.route(), state.route()->shards, times, state.account()},
         request.counted,
         request.repeats_left - 1,
         request.first_arrived,
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -24,15 +24,11 @@
 } // namespace
 
 forwarded_request::forwarded_request(
-    forward_config_ptr config,
-    const forward_route& route,
+    pinned_route route,
     std::vector<forward_service_index> services,
     forward_times times,
-    const client_account* account)
-    : config_{std::move(config)},
-      route_{&route},
-      account_{account},
-      times_{times}
+    client_account_ptr account)
+    : route_{std::move(route)}, account_{std::move(account)}, times_{times}
 {
     full_value_passed_ = times.full_value_until <= times.arrived;
     parts_.resize(services.size());
@@ -204,7 +200,7 @@
     if (account_ == nullptr)
         return std::nullopt;
     return static_cast<account_index>(
-        account_ - config_->accounts.accounts().data());
+        account_.get() - config()->accounts.accounts().data());
 }
 
 bool forwarded_request::try_admit(
--- a/core/src/routing/forward_config.cpp
+++ b/core/src/routing/forward_config.cpp
@@ -23,17 +23,17 @@
         by_prefix_.emplace(index_key(routes[i].host, routes[i].prefix), i);
 }
 
-const forward_route*
+std::optional<std::size_t>
 forward_config::find(std::string_view host, std::string_view path) const
 {
     auto key = index_key(host, path);
     while (true) {
         const auto slash = key.rfind('/');
         if (slash == std::string::npos || slash < host.size())
-            return nullptr;
+            return std::nullopt;
         key.resize(slash + 1);
         if (const auto found = by_prefix_.find(key); found != by_prefix_.end())
-            return &routes[found->second];
+            return found->second;
         key.pop_back();
     }
 }
--- a/core/tests/accounts_test.cpp
+++ b/core/tests/accounts_test.cpp
@@ -1,17 +1,21 @@
 // Client accounts: which requests their keys admit.
 
 #include <peridotward/core/accounts/authentication.hpp>
+#include <peridotward/core/routing/pinned_route.hpp>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <memory>
+
 using namespace peridotward;
 
 namespace {
 
-forward_config config_with_accounts()
+std::shared_ptr<forward_config> config_with_accounts()
 {
-    forward_config config;
+    auto built = std::make_shared<forward_config>();
+    auto& config = *built;
     config.version = 3;
     config.routes.resize(2);
     config.routes[0].name = "closed";
@@ -19,13 +23,13 @@
     config.routes[1].open_to_all = true;
     config.accounts.add({"desk", 0, {21, 21}}, {"key-1", "key-2"});
     config.accounts.add({"port", {}, {}}, {"key-3"});
-    return config;
+    return built;
 }
 
 authentication
-try_key(const forward_config& config, std::string_view value, int route = 0)
+try_key(const forward_config_ptr& config, std::string_view value, int route = 0)
 {
-    return authenticate(config, config.routes[route], {1, value, "Token"});
+    return authenticate(config, config->routes[route], {1, value, "Token"});
 }
 
 } // namespace
@@ -75,7 +79,7 @@
         CHECK(
             try_key(config, value).outcome != authentication_outcome::accepted);
     }
-    const auto& route = config.routes[0];
+    const auto& route = config->routes[0];
     CHECK(
         authenticate(config, route, {2, "Token key-1", "Token"}).outcome ==
         authentication_outcome::malformed);
@@ -88,7 +92,7 @@
 {
     const auto config = config_with_accounts();
     CHECK(
-        authenticate(config, config.routes[1], {0, "", "Token"}).outcome ==
+        authenticate(config, config->routes[1], {0, "", "Token"}).outcome ==
         authentication_outcome::accepted);
     CHECK(
         try_key(config, "Token wrong", 1).outcome ==
@@ -100,7 +104,7 @@
 TEST_CASE("accounts: without accounts, no route needs a key", "[accounts]")
 {
     auto config = config_with_accounts();
-    config.accounts = {};
+    config->accounts = {};
     CHECK(
         try_key(config, "Token key-1").outcome ==
         authentication_outcome::accepted);
@@ -113,11 +117,10 @@
 {
     const auto before = config_with_accounts();
     auto after = config_with_accounts();
-    after.accounts = {};
-    after.accounts.add({"desk", 0, {21, 21}}, {"key-1"});
-    after.accounts.add({"port", {}, {}}, {"key-3"});
-    CHECK(
-        before.digest_of(before.routes[0]) != after.digest_of(after.routes[0]));
+    after->accounts = {};
+    after->accounts.add({"desk", 0, {21, 21}}, {"key-1"});
+    after->accounts.add({"port", {}, {}}, {"key-3"});
+    CHECK(pinned_route(before, 0).digest() != pinned_route(after, 0).digest());
 }
 
 TEST_CASE("accounts: no other text is taken for a key", "[accounts]")
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -75,8 +75,7 @@
         if (services.empty())
             services.push_back(0);
         return {
-            config,
-            route,
+            pinned_route{config, 0},
             std::move(services),
             {start,
              start + milliseconds{90},
--- a/core/tests/routing_test.cpp
+++ b/core/tests/routing_test.cpp
@@ -1,10 +1,11 @@
-#include <peridotward/core/routing/forward_config.hpp>
+#include <peridotward/core/routing/pinned_route.hpp>
 #include <peridotward/core/routing/weighted_round_robin.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <cmath>
 #include <map>
+#include <memory>
 
 using namespace peridotward;
 
@@ -24,22 +25,25 @@
 TEST_CASE(
     "routing: the longest matching prefix of a host is found", "[routing]")
 {
-    forward_config config;
-    config.routes = {
+    const auto config = std::make_shared<forward_config>();
+    config->routes = {
         make_route("a.example", "/x/"),
         make_route("a.example", "/x/y/"),
         make_route("b.example", "/"),
     };
-    config.build_index();
+    config->build_index();
+    const auto find = [&](std::string_view host, std::string_view path) {
+        return pinned_route::find(config, host, path);
+    };
 
-    CHECK(config.find("a.example", "/x/y/z")->prefix == "/x/y/");
-    CHECK(config.find("a.example", "/x/y/")->prefix == "/x/y/");
-    CHECK(config.find("a.example", "/x/yy")->prefix == "/x/");
-    CHECK(config.find("b.example", "/anything")->prefix == "/");
-    CHECK(config.find("a.example", "/x") == nullptr);
-    CHECK(config.find("a.example", "/other/") == nullptr);
-    CHECK(config.find("c.example", "/x/") == nullptr);
-    CHECK(config.find("a.example", "") == nullptr);
+    CHECK((*find("a.example", "/x/y/z"))->prefix == "/x/y/");
+    CHECK((*find("a.example", "/x/y/"))->prefix == "/x/y/");
+    CHECK((*find("a.example", "/x/yy"))->prefix == "/x/");
+    CHECK((*find("b.example", "/anything"))->prefix == "/");
+    CHECK_FALSE(find("a.example", "/x"));
+    CHECK_FALSE(find("a.example", "/other/"));
+    CHECK_FALSE(find("c.example", "/x/"));
+    CHECK_FALSE(find("a.example", ""));
 }
 
 TEST_CASE(
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -136,6 +136,9 @@
     friend class quota_wait;
     friend class relay_operation;
 
+    /// \returns The latencies of the requests of `route`, by its name.
+    [[nodiscard]] const latency_profile_ptr&
+    profile_of(const forward_route& route);
     /// \brief Handles a request that has arrived, or that has waited for a
     /// credit of its account's quota.
     void handle(http_session& session, std::optional<time_point> waited_since);
@@ -183,7 +186,7 @@
     /// \brief Lets another instance serve a request.
     void relay(
         http_session& session,
-        const forward_route& route,
+        const pinned_route& route,
         const forward_times& times,
         const std::string& request_id);
     /// \brief Refuses a request that this instance can't serve now, so that an
@@ -200,7 +203,7 @@
     /// \returns Whether the configuration in force still accepts a request
     /// that was admitted to `route` of an earlier one.
     [[nodiscard]] authentication authenticate_again(
-        const http_session& session, const forward_route& route) const;
+        const http_session& session, const pinned_route& route) const;
     /// \brief Applies the instance's share of the connections to all replicas,
     /// after a change of the fleet.
     void update_connection_limits();
@@ -211,9 +214,10 @@
     void refuse_unauthenticated(
         http_session& session, authentication_outcome outcome);
     /// \returns Whether an instance relayed the request that has a later
-    /// configuration with another route for it than `route`, which may be null.
-    [[nodiscard]] bool
-    is_behind(const request_message& request, const forward_route* route) const;
+    /// configuration with another route for it than `route`, if any.
+    [[nodiscard]] bool is_behind(
+        const request_message& request,
+        const std::optional<pinned_route>& route) const;
     /// \returns The network address of the caller, also if another instance
     /// relayed the request.
     [[nodiscard]] std::string_view caller_of(const http_session& session) const;
@@ -248,7 +252,7 @@
     upstream_pool pool_;
     forward_config_ptr config_;
     weighted_round_robin turns_;
-    std::unordered_map<std::string, latency_profile> profiles_;
+    std::unordered_map<std::string, latency_profile_ptr> profiles_;
     std::unordered_map<std::string, request_deadlines> request_deadlines_;
     /// By the name of the route's first service, so that routes to the same
     /// upstreams share one schedule.
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -30,7 +30,7 @@
     : owner_{&owner},
       session_{session},
       request_{std::move(request)},
-      profile_{&owner.profiles_[request_.route().name]},
+      profile_{owner.profile_of(*request_.route())},
       request_id_{std::move(request_id)},
       fingerprints_{fingerprints},
       crash_marks_{
@@ -39,7 +39,7 @@
       head_{forwarded_request_head(
           session.request(),
           *owner.names_,
-          account_for_upstreams(*request_.config(), request_.account()))},
+          account_for_upstreams(*request_.config(), request_.account().get()))},
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
@@ -132,13 +132,8 @@
     request.expires_at = request_.times().caller_deadline + late_answer_time;
     request.bodiless = bodiless_;
     request.recent_connection_only =
-        request_.route().safety == retry_safety::at_most_once;
-    const auto& service = *std::find_if(
-        request_.config()->services.begin(),
-        request_.config()->services.end(),
-        [&](const auto& candidate) {
-            return candidate.name == target.published.service;
-        });
+        request_.route()->safety == retry_safety::at_most_once;
+    const auto& service = request_.service(to_send.part);
     if (!owner_->pool_.send(
             to_send.to,
             std::move(request),
@@ -175,7 +170,7 @@
             {{"request", request_id_},
              {"fingerprint", to_text(fingerprints_.exact)},
              {"similar", to_text(fingerprints_.similar)},
-             {"route", request_.route().name},
+             {"route", request_.route()->name},
              {"replica", target.id},
              {"service", target.service},
              {"address", target.address.text()},
@@ -212,7 +207,7 @@
     bodies_[part] = std::move(answer.body);
     signatures_[part] =
         answer.fields.find(owner_->names_->signature).value_or("");
-    if (!request_.route().scatters())
+    if (!request_.route()->scatters())
         answer_head_ = forwarded_answer_head(answer, *owner_->names_);
 }
 
@@ -269,7 +264,7 @@
         owner_->retry_schedule_of(request_).on_served(owner_->loop_->now());
     if (!success)
         answer_failure(*session, end);
-    else if (request_.route().scatters())
+    else if (request_.route()->scatters())
         answer_parts(*session);
     else
         session->respond(answer_head_, bodies_.front());
@@ -302,13 +297,14 @@
         owner_->names_->parts_missing,
         std::to_string(request_.part_count() - included));
     head += "Content-Type: application/octet-stream\r\n";
-    session.respond(head, merge_records(bodies_, request_.route().top_records));
+    session.respond(
+        head, merge_records(bodies_, request_.route()->top_records));
 }
 
 void forward_operation::answer_failure(http_session& session, forward_end end)
 {
     const bool forward_failure =
-        failure_.received && !request_.route().scatters();
+        failure_.received && !request_.route()->scatters();
     if (forward_failure) {
         session.respond(failure_.head, failure_.body);
         return;
@@ -333,7 +329,7 @@
     }
     if (request_.shed())
         owner_->stats_->count(
-            "shed_requests_total{route=\"" + request_.route().name + "\"}");
+            "shed_requests_total{route=\"" + request_.route()->name + "\"}");
     owner_->refuse(
         session,
         status,
@@ -346,7 +342,7 @@
     const auto now = owner_->loop_->now();
     const auto elapsed = now - request_.times().arrived;
     owner_->stats_->record_request(
-        request_.route().name, name_of(end), elapsed);
+        request_.route()->name, name_of(end), elapsed);
     const bool routine = end == forward_end::complete &&
                          now <= request_.times().full_value_until;
     if (routine && !owner_->log_->accepts_routine(now))
@@ -358,7 +354,7 @@
         "request_end",
         {{"request", request_id_},
          {"fingerprint", to_text(fingerprints_.exact)},
-         {"route", request_.route().name},
+         {"route", request_.route()->name},
          {"account",
           request_.account() == nullptr ? std::string_view{}
                                         : request_.account()->name},
@@ -396,7 +392,7 @@
     if (request_.ended())
         return;
     owner_->stats_->record_request(
-        request_.route().name,
+        request_.route()->name,
         "caller_left",
         owner_->loop_->now() - request_.times().arrived);
     if (!request_.sent())
@@ -406,7 +402,8 @@
 
 void forward_operation::on_upstreams_lost()
 {
-    const bool repeatable = request_.route().safety == retry_safety::idempotent;
+    const bool repeatable =
+        request_.route()->safety == retry_safety::idempotent;
     if (!session_ || request_.ended() || !repeatable)
         return;
     const boost::intrusive_ptr<forward_operation> guard{this};
@@ -428,7 +425,7 @@
         head_ = forwarded_request_head(
             session_->request(),
             *owner_->names_,
-            account_for_upstreams(*owner_->config_, renewed.account));
+            account_for_upstreams(*owner_->config_, renewed.account.get()));
         return;
     }
     const boost::intrusive_ptr<forward_operation> guard{this};
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -75,7 +75,7 @@
     forwarder* owner_;
     session_request session_; ///< The caller's.
     forwarded_request request_;
-    latency_profile* profile_;
+    latency_profile_ptr profile_;
     std::string request_id_;
     request_fingerprints fingerprints_;
     crash_history::marks crash_marks_; ///< When the request arrived.
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -285,6 +285,14 @@
     session.respond(head, reason);
 }
 
+const latency_profile_ptr& forwarder::profile_of(const forward_route& route)
+{
+    auto& profile = profiles_[route.name];
+    if (!profile)
+        profile = new latency_profile;
+    return profile;
+}
+
 void forwarder::on_request(http_session& session)
 {
     handle(session, std::nullopt);
@@ -378,18 +386,20 @@
             retry_schedules_[""].reserve(0, now + retry_after_start, now));
         return;
     }
-    const auto* route = config_->find(host_of(*host), path_of(request.target));
-    if (is_behind(request, route)) {
+    const auto found =
+        pinned_route::find(config_, host_of(*host), path_of(request.target));
+    if (is_behind(request, found)) {
         refuse_unreachable(
             session, "not run: the route is older", relayed_declined);
         return;
     }
-    if (route == nullptr) {
+    if (!found) {
         refuse(session, 404, "no route has this host and path");
         return;
     }
+    const auto& route = *found;
     const auto credentials = credentials_of(request);
-    const auto authenticated = authenticate(*config_, *route, credentials);
+    const auto authenticated = authenticate(config_, *route, credentials);
     if (authenticated.outcome != authentication_outcome::accepted) {
         refuse_unauthenticated(session, authenticated.outcome);
         return;
@@ -419,7 +429,7 @@
     auto times = request_deadlines_[route->name].compute(*route, caller);
     if (shutdown_) {
         if (!shutdown_->fits(
-                times, route->safety, profiles_[route->name], loop_->now())) {
+                times, route->safety, *profile_of(*route), loop_->now())) {
             refuse_stopping(session);
             return;
         }
@@ -429,7 +439,7 @@
         if (request.fields.find(names_->relayed))
             refuse_unreachable(session, no_upstream, relayed_cut_off);
         else
-            relay(session, *route, times, std::string{*id});
+            relay(session, route, times, std::string{*id});
         return;
     }
     if (authenticated.account != nullptr &&
@@ -443,11 +453,7 @@
             *this,
             session,
             forwarded_request{
-                config_,
-                *route,
-                std::move(services),
-                times,
-                authenticated.account},
+                route, std::move(services), times, authenticated.account},
             std::string{*id},
             fingerprints}};
     session.state = operation;
@@ -466,16 +472,15 @@
 }
 
 authentication forwarder::authenticate_again(
-    const http_session& session, const forward_route& route) const
+    const http_session& session, const pinned_route& route) const
 {
     const auto& request = session.request();
-    const auto* const renewed = config_->find(
+    const auto renewed = pinned_route::find(
+        config_,
         host_of(request.fields.find("Host").value_or("")),
         path_of(request.target));
     return authenticate(
-        *config_,
-        renewed != nullptr ? *renewed : route,
-        credentials_of(request));
+        config_, renewed ? **renewed : *route, credentials_of(request));
 }
 
 void forwarder::refuse_unauthenticated(
--- a/gateway/src/forwarder_protection.cpp
+++ b/gateway/src/forwarder_protection.cpp
@@ -117,7 +117,8 @@
 }
 
 bool forwarder::is_behind(
-    const request_message& request, const forward_route* route) const
+    const request_message& request,
+    const std::optional<pinned_route>& route) const
 {
     const auto text = request.fields.find(names_->relayed_config);
     if (!text)
@@ -128,8 +129,7 @@
     const auto* const space = std::from_chars(text->data(), end, version).ptr;
     if (space != end)
         std::from_chars(space + 1, end, digest);
-    return version > config_->version &&
-           (route == nullptr || config_->digest_of(*route) != digest);
+    return version > config_->version && (!route || route->digest() != digest);
 }
 
 void forwarder::refuse_unreachable(
@@ -146,7 +146,7 @@
 
 void forwarder::relay(
     http_session& session,
-    const forward_route& route,
+    const pinned_route& route,
     const forward_times& times,
     const std::string& request_id)
 {
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -23,16 +23,15 @@
 relay_operation::relay_operation(
     forwarder& owner,
     http_session& session,
-    const forward_route& route,
+    pinned_route route,
     const forward_times& times,
     std::string request_id)
     : owner_{&owner},
       session_{session},
-      config_{owner.config_},
-      route_{&route},
+      route_{std::move(route)},
       route_version_{
-          std::to_string(owner.config_->version) + " " +
-          std::to_string(owner.config_->digest_of(route))},
+          std::to_string(route_.config()->version) + " " +
+          std::to_string(route_.digest())},
       times_{times},
       request_id_{std::move(request_id)},
       head_{forwarded_request_head(
@@ -285,7 +284,7 @@
 {
     if (!session_ || connected_)
         return;
-    const auto renewed = owner_->authenticate_again(*session_, *route_);
+    const auto renewed = owner_->authenticate_again(*session_, route_);
     if (renewed.outcome == authentication_outcome::accepted)
         return;
     const boost::intrusive_ptr<relay_operation> guard{this};
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -26,7 +26,7 @@
     relay_operation(
         forwarder& owner,
         http_session& session,
-        const forward_route& route,
+        pinned_route route,
         const forward_times& times,
         std::string request_id);
     ~relay_operation() override;
@@ -56,9 +56,8 @@
     [[nodiscard]] std::string serialize() const;
 
     forwarder* owner_;
-    session_request session_;   ///< The caller's.
-    forward_config_ptr config_; ///< Holds `route_`.
-    const forward_route* route_;
+    session_request session_; ///< The caller's.
+    pinned_route route_;
     std::string route_version_; ///< For the field `relayed_config`.
     forward_times times_;
     std::string request_id_;
