gateway: what a caller's connection waits for follows from its state

Cause: receive() set the events of the connection anew when the input was full and dropped EPOLLOUT, which flush() had set; nothing set it again.

Change: wanted_events() computes the events from the state, and update_events() registers them after each step.

Why it works: the events no longer depend on the order of the steps.

--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -145,7 +145,11 @@
     void refuse(std::uint32_t status);
     void flush();
     void on_answer_sent();
-    void set_events(std::uint32_t events);
+    /// \returns The events that this connection waits for in its state.
+    [[nodiscard]] std::uint32_t wanted_events() const noexcept;
+    /// \brief Registers `wanted_events`; called after each step that changes
+    /// the state.
+    void update_events();
     void linger();
     void close();
 
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -53,13 +53,25 @@
 
 void http_session::start()
 {
-    watched_events_ = EPOLLIN | EPOLLRDHUP;
+    watched_events_ = wanted_events();
     loop_->add(socket_.descriptor(), watched_events_, *this);
     intrusive_ptr_add_ref(this); // The reactor's reference, until `close`.
 }
 
-void http_session::set_events(std::uint32_t events)
+std::uint32_t http_session::wanted_events() const noexcept
 {
+    std::uint32_t events = EPOLLRDHUP;
+    const bool can_parse = phase_ == phase::reading && output_.empty();
+    if (phase_ == phase::lingering || can_parse || input_.size() <= read_bytes)
+        events |= EPOLLIN;
+    if (!output_.empty())
+        events |= EPOLLOUT;
+    return events;
+}
+
+void http_session::update_events()
+{
+    const auto events = wanted_events();
     if (phase_ == phase::closed || events == watched_events_)
         return;
     watched_events_ = events;
@@ -96,8 +108,7 @@
     input_.append(buffer.data(), static_cast<std::size_t>(received));
     if (phase_ == phase::reading && output_.empty())
         parse();
-    else if (input_.size() > read_bytes)
-        set_events(EPOLLRDHUP); // Reading resumes after the answer.
+    update_events();
 }
 
 void http_session::parse()
@@ -182,7 +193,7 @@
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0 && errno == EAGAIN) {
-            set_events(watched_events_ | EPOLLOUT);
+            update_events();
             return;
         }
         if (sent < 0) {
@@ -206,13 +217,15 @@
         linger();
         return;
     }
-    set_events(EPOLLIN | EPOLLRDHUP);
+    update_events();
     if (input_.empty())
         return;
     start_time_ = loop_->now();
     loop_->defer([self = boost::intrusive_ptr<http_session>{this}] {
-        if (self->phase_ == phase::reading && !self->input_.empty())
-            self->parse();
+        if (self->phase_ != phase::reading || self->input_.empty())
+            return;
+        self->parse();
+        self->update_events();
     });
 }
 
@@ -222,7 +235,7 @@
     idle_since_ = loop_->now();
     input_.clear();
     ::shutdown(socket_.descriptor(), SHUT_WR);
-    set_events(EPOLLIN | EPOLLRDHUP);
+    update_events();
 }
 
 duration http_session::round_trip()
