gateway: large answers claim memory before they are read

Other operators report replicas that send bytes without end until the machine's memory is used up.

Cause: complete answers that wait for callers, and all answers to relayed requests, counted towards no limit. Beyond 32 MB of incomplete answers the largest one was ended, whoever sent it.

Change: memory_budget, half of the limit that the settings state. An answer claims its whole size before more than 16 KB are read, and keeps the claim until it has been passed on; what gets none isn't read. A service holds half at most. Requests whose answer could hardly be read in time are refused at once. An answer is moved to the session and no longer copied.

Why it works: what is read is claimed before, and what is claimed is bounded.

--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/core/accounts/account_quotas.hpp>
 #include <peridotward/core/accounts/authentication.hpp>
 #include <peridotward/core/admission/load_report_exchange.hpp>
+#include <peridotward/core/admission/memory_budget.hpp>
 #include <peridotward/core/admission/retry_schedule.hpp>
 #include <peridotward/core/admission/shutdown_schedule.hpp>
 #include <peridotward/core/gather/forwarded_request.hpp>
@@ -52,6 +53,12 @@
         "not run: the instance is shutting down";
     /// Other instances that a refusal during the shutdown names.
     static constexpr std::size_t max_alternatives = 3;
+    /// Reason of refusals while the memory for large answers is in use.
+    static constexpr std::string_view no_memory =
+        "not run: the memory for answers of this size is in use";
+    /// Retry-After of these refusals. Callers usually take an answer within a
+    /// part of it.
+    static constexpr milliseconds retry_after_memory{500};
     /// Reason of refusals while no upstream can be reached.
     static constexpr std::string_view no_upstream =
         "not run: no upstream can be reached";
@@ -99,6 +106,12 @@
 
     [[nodiscard]] account_quotas& quotas() noexcept { return quotas_; }
 
+    /// \returns The memory of large answers.
+    [[nodiscard]] const memory_budget& memory() const noexcept
+    {
+        return *memory_;
+    }
+
     /// \brief Applies the retry, cold-start and quota limits of the changed
     /// settings.
     void apply_settings();
@@ -136,6 +149,15 @@
     friend class quota_wait;
     friend class relay_operation;
 
+    /// \brief Records the size of an answer, or a part of one.
+    void record_answer_size(const forward_route& route, std::size_t bytes);
+    /// \returns Whether the request was refused because its answer, if it is
+    /// like the last ones of its route, could hardly be read in time.
+    bool refuse_without_memory(
+        http_session& session,
+        const pinned_route& route,
+        const std::vector<forward_service_index>& services);
+    void log_memory(time_point now);
     /// \returns The latencies of the requests of `route`, by its name.
     [[nodiscard]] const latency_profile_ptr&
     profile_of(const forward_route& route);
@@ -249,10 +271,15 @@
     load_report_exchange load_report_exchange_;
     account_quotas quotas_;
     fleet_view fleet_;
+    boost::intrusive_ptr<memory_budget> memory_;
     upstream_pool pool_;
     forward_config_ptr config_;
     weighted_round_robin turns_;
     std::unordered_map<std::string, latency_profile_ptr> profiles_;
+    /// By route, of those that had large answers: their size, which falls with
+    /// each smaller one.
+    std::unordered_map<std::string, std::size_t> answer_sizes_;
+    time_point next_memory_log_;
     std::unordered_map<std::string, request_deadlines> request_deadlines_;
     /// By the name of the route's first service, so that routes to the same
     /// upstreams share one schedule.
--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include <peridotward/base/error.hpp>
 #include <peridotward/base/time.hpp>
 #include <peridotward/core/accounts/quota_bounds.hpp>
+#include <peridotward/core/admission/memory_budget.hpp>
 #include <peridotward/core/budgets/cold_limit.hpp>
 #include <peridotward/core/budgets/retry_budget_window.hpp>
 
@@ -34,6 +35,8 @@
     std::string domain;
     std::string region;
     std::uint32_t capacity = 0; ///< Of the machine, in 1/1000 of a core.
+    /// Limit of the process's memory, in MiB; 0 if none is stated.
+    std::uint32_t memory_mb = 0;
     gateway_listeners listen;
     std::vector<endpoint> seeds; ///< Gossip addresses of some instances.
     endpoint store; ///< Key-value store of configuration and upstreams.
@@ -45,6 +48,14 @@
     duration shutdown_grace = seconds{6};
     /// Max time for which callers cache a directory answer.
     seconds directory_ttl{1};
+
+    /// \returns The memory for large answers, in bytes: a half of the limit.
+    /// The rest is for the state of the fleet and of the connections.
+    [[nodiscard]] std::size_t message_memory() const noexcept
+    {
+        return memory_mb == 0 ? memory_budget::default_capacity
+                              : (std::size_t{memory_mb} << 20U) / 2;
+    }
 };
 
 /// \returns The settings in `text` (JSON with comments), or `config_invalid`
--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <peridotward/core/admission/memory_budget.hpp>
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <cstddef>
@@ -67,6 +69,7 @@
     std::string reason;
     field_list fields;
     std::string body;
+    std::vector<memory_claim> memory; ///< For a large `body`.
     bool keep_alive = true;
 };
 
@@ -149,6 +152,15 @@
     /// after the end of the message stay in `input`.
     [[nodiscard]] read_state consume(std::string& input);
 
+    /// \returns The size of the whole body, if the head has stated it.
+    [[nodiscard]] std::optional<std::size_t> stated_body_bytes();
+
+    /// \returns The size of the largest body that is accepted.
+    [[nodiscard]] std::size_t max_body_bytes() const noexcept
+    {
+        return size_.max_body_bytes;
+    }
+
     /// \brief Handles the orderly end of the connection.
     /// \returns `complete` if the end of the connection ends the answer, else
     /// `invalid`.
--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace peridotward {
 
@@ -75,6 +76,13 @@
     /// Content-Length, Connection and the empty line are added.
     void respond(std::string_view head, std::string_view body);
 
+    /// \brief Sends the answer to the current request, and holds `memory` until
+    /// the caller has taken it.
+    void respond(
+        std::string_view head,
+        std::string&& body,
+        std::vector<memory_claim> memory);
+
     /// \brief Sends an answer with a status and a content type only.
     void respond(
         std::uint32_t status,
@@ -143,7 +151,10 @@
     /// \brief A whole request, or one to refuse, is open from now on.
     void begin_request();
     void refuse(std::uint32_t status);
+    /// \returns The bytes of the answer that can be sent next.
+    [[nodiscard]] std::string_view unsent() const noexcept;
     void flush();
+    void discard_output();
     void on_answer_sent();
     /// \returns The events that this connection waits for in its state.
     [[nodiscard]] std::uint32_t wanted_events() const noexcept;
@@ -163,8 +174,10 @@
     std::uint64_t request_number_ = 0;
     std::unique_ptr<request_reader> reader_;
     std::string input_;
-    std::string output_;
-    std::size_t written_ = 0;
+    std::string output_;     ///< Head of the answer, and a short body.
+    std::string large_body_; ///< Follows `output_`.
+    std::vector<memory_claim> memory_; ///< For `large_body_`.
+    std::size_t written_ = 0;      ///< Of `output_` and `large_body_` together.
     time_point write_progress_at_; ///< When bytes of `output_` were last sent.
     bool close_after_answer_ = false;
     std::optional<duration> round_trip_;
--- a/gateway/include/peridotward/gateway/socket.hpp
+++ b/gateway/include/peridotward/gateway/socket.hpp
@@ -68,4 +68,8 @@
 /// \brief Accepts one connection.
 [[nodiscard]] accepted_connection accept_tcp(int listener);
 
+/// \brief Limits the bytes that the kernel holds for a connection that isn't
+/// read for a while; they count as memory of the process.
+void limit_receive_buffer(const unique_socket& socket) noexcept;
+
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <peridotward/core/discovery/upstream_catalog.hpp>
+#include <peridotward/gateway/answer_memory.hpp>
 #include <peridotward/gateway/http_reader.hpp>
 #include <peridotward/gateway/reactor.hpp>
 #include <peridotward/gateway/socket.hpp>
@@ -67,12 +68,6 @@
     /// request has passed.
     [[nodiscard]] bool overdue(time_point now) const noexcept;
 
-    /// \brief Closes the connection and reports its open request as broken.
-    void give_up() { on_connection_end(forward_outcome::broken); }
-
-    /// \returns The size of the incomplete answer.
-    [[nodiscard]] std::size_t buffered() const noexcept { return buffered_; }
-
     /// \brief Closes an overdue connection and reports its open request.
     void expire();
 
@@ -130,7 +125,11 @@
     void record_pause();
     [[nodiscard]] forward_outcome outcome_of_answer() const;
     void report(forward_outcome outcome, response_message* answer);
-    void set_events(std::uint32_t events);
+    /// \returns The events that this connection waits for in its state.
+    [[nodiscard]] std::uint32_t wanted_events() const noexcept;
+    /// \brief Registers `wanted_events`; called after each step that changes
+    /// the state.
+    void update_events();
 
     upstream_pool* pool_;
     replica_number replica_;
@@ -151,6 +150,7 @@
     std::vector<std::uint64_t> carried_;
     std::size_t carried_count_ = 0;
     std::size_t buffered_ = 0;
+    answer_memory memory_;
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/admission/memory_budget.hpp>
 #include <peridotward/core/admission/send_queue.hpp>
 #include <peridotward/core/discovery/upstream_catalog.hpp>
 #include <peridotward/core/placement/upstream_contact.hpp>
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <utility>
 
 namespace peridotward {
 
@@ -26,13 +28,18 @@
     /// Requests that may run at most once use no connection that was idle for
     /// longer: the replica may have dropped it without notice.
     static constexpr milliseconds max_recent_idle{1000};
-    /// Max size of all incomplete answers together; the largest one is given up
-    /// beyond that.
-    static constexpr std::size_t max_buffered_bytes = 32U << 20U;
 
+    /// \param memory Of large answers.
     upstream_pool(
-        reactor& loop, upstream_catalog& catalog, const header_names& names)
-        : loop_{&loop}, catalog_{&catalog}, names_{&names}
+        reactor& loop,
+        upstream_catalog& catalog,
+        const header_names& names,
+        boost::intrusive_ptr<memory_budget> memory =
+            new memory_budget{memory_budget::default_capacity})
+        : loop_{&loop},
+          catalog_{&catalog},
+          names_{&names},
+          memory_{std::move(memory)}
     {}
 
     /// \brief Sends the request on an idle connection, opens one if there are
@@ -114,10 +121,6 @@
         buffered_bytes_ += after - before;
     }
 
-    /// \brief Gives up the largest incomplete answers while all together exceed
-    /// `max_buffered_bytes`.
-    void limit_buffered();
-
     /// \returns The size of all incomplete answers.
     [[nodiscard]] std::size_t buffered_bytes() const noexcept
     {
@@ -137,6 +140,7 @@
         return untied_answers_;
     }
 
+    [[nodiscard]] memory_budget& memory() noexcept { return *memory_; }
     [[nodiscard]] reactor& loop() noexcept { return *loop_; }
     [[nodiscard]] upstream_catalog& catalog() noexcept { return *catalog_; }
     [[nodiscard]] const header_names& names() const noexcept { return *names_; }
@@ -173,6 +177,7 @@
     reactor* loop_;
     upstream_catalog* catalog_;
     const header_names* names_;
+    boost::intrusive_ptr<memory_budget> memory_;
     /// By replica number. A deque, so that references stay valid when a report
     /// causes another `send` that adds a replica.
     std::deque<replica_connections> connections_;
--- a/gateway/src/control_handler.cpp
+++ b/gateway/src/control_handler.cpp
@@ -64,6 +64,10 @@
     gauge("waiting_for_connection", forwarding_->pool().waiting_count());
     gauge("upstream_connections", forwarding_->pool().connection_count());
     gauge("upstream_connections_opened_total", forwarding_->pool().opened());
+    gauge("message_memory_bytes", forwarding_->memory().used());
+    gauge(
+        "message_memory_waiting_bytes", forwarding_->memory().waiting_bytes());
+    gauge("message_memory_limit_bytes", forwarding_->memory().capacity());
     gauge("untied_answers_total", forwarding_->pool().untied_answers());
     gauge("log_lines_dropped_total", log_->dropped());
     gauge("upstreams_lost", forwarding_->pool().contact().lost() ? 1 : 0);
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -19,6 +19,10 @@
 /// of how long a replica that isn't paused needs at most.
 constexpr int answer_latency_factor = 2;
 
+/// Parts of a search from this size count as memory in use while the others
+/// are awaited, also if they are too small to be claimed.
+constexpr std::size_t min_counted_part = 1024;
+
 } // namespace
 
 forward_operation::forward_operation(
@@ -196,6 +200,7 @@
         failure_.received = true;
         failure_.head = forwarded_answer_head(*answer, *owner_->names_);
         failure_.body = std::move(answer->body);
+        hold_memory(*answer);
     }
     execute_actions();
 }
@@ -205,12 +210,26 @@
 {
     const auto part = request_.part_of(attempt);
     bodies_[part] = std::move(answer.body);
+    hold_memory(answer);
+    if (answer.memory.empty() && request_.route()->scatters() &&
+        bodies_[part].size() >= min_counted_part)
+        memory_.push_back(owner_->memory_->take(
+            request_.service(part).name, bodies_[part].size()));
     signatures_[part] =
         answer.fields.find(owner_->names_->signature).value_or("");
     if (!request_.route()->scatters())
         answer_head_ = forwarded_answer_head(answer, *owner_->names_);
 }
 
+void forward_operation::hold_memory(response_message& answer)
+{
+    std::move(
+        answer.memory.begin(),
+        answer.memory.end(),
+        std::back_inserter(memory_));
+    answer.memory.clear();
+}
+
 void forward_operation::withdraw_unneeded()
 {
     for (std::uint32_t i = 0; i < request_.attempts(); ++i) {
@@ -260,6 +279,12 @@
     const auto session = std::exchange(session_, {});
     if (!session)
         return;
+    if (success) {
+        std::size_t bytes = 0;
+        for (const auto& body : bodies_)
+            bytes += body.size();
+        owner_->record_answer_size(*request_.route(), bytes);
+    }
     if (success)
         owner_->retry_schedule_of(request_).on_served(owner_->loop_->now());
     if (!success)
@@ -267,7 +292,8 @@
     else if (request_.route()->scatters())
         answer_parts(*session);
     else
-        session->respond(answer_head_, bodies_.front());
+        session->respond(
+            answer_head_, std::move(bodies_.front()), std::move(memory_));
 }
 
 void forward_operation::refund()
@@ -297,8 +323,9 @@
         owner_->names_->parts_missing,
         std::to_string(request_.part_count() - included));
     head += "Content-Type: application/octet-stream\r\n";
-    session.respond(
-        head, merge_records(bodies_, request_.route()->top_records));
+    auto merged = merge_records(bodies_, request_.route()->top_records);
+    bodies_.clear();
+    session.respond(head, std::move(merged), std::move(memory_));
 }
 
 void forward_operation::answer_failure(http_session& session, forward_end end)
@@ -306,7 +333,8 @@
     const bool forward_failure =
         failure_.received && !request_.route()->scatters();
     if (forward_failure) {
-        session.respond(failure_.head, failure_.body);
+        session.respond(
+            failure_.head, std::move(failure_.body), std::move(memory_));
         return;
     }
     const std::uint32_t status = end == forward_end::not_run     ? 503
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -64,6 +64,8 @@
     /// \brief Ends all attempts without an answer to the caller.
     void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
+    /// \brief Keeps what an answer whose body is kept has claimed.
+    void hold_memory(response_message& answer);
     void finish(forward_end end);
     /// \brief Gives back the credit of the account's quota.
     void refund();
@@ -87,6 +89,7 @@
     std::vector<std::string> bodies_;
     std::vector<std::string> signatures_;
     std::string answer_head_;
+    std::vector<memory_claim> memory_; ///< For the bodies.
     failed_answer failure_;
     forward_actions actions_;
     std::vector<std::uint32_t> unsent_attempts_;
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -36,6 +36,11 @@
 constexpr seconds shedding_log_interval{1};
 /// Interval of the log lines about refusals beyond quotas.
 constexpr seconds quota_log_interval{1};
+/// Interval of the log lines about memory that large messages wait for.
+constexpr seconds memory_log_interval{1};
+/// Divisor of the part by which the recorded size of a route's answers falls
+/// with each smaller one.
+constexpr std::size_t size_decay_divisor = 8;
 /// Accounts with a log line in each interval; those with the most refusals.
 constexpr std::size_t logged_accounts = 3;
 /// Services with fewer extra attempts in the window are not logged.
@@ -96,7 +101,8 @@
       retry_budgets_{settings.retries},
       load_report_exchange_{load_shedders_, random_},
       quotas_{random_, loop.now()},
-      pool_{loop, catalog_, names}
+      memory_{new memory_budget{settings.message_memory()}},
+      pool_{loop, catalog_, names, memory_}
 {
     fleet_.self = settings.listen.peers.text();
     retry_budgets_.started(loop.now());
@@ -245,6 +251,7 @@
     retry_budgets_.bounds(settings_->retries);
     replica_selector_.bounds(settings_->cold_starts);
     quotas_.bounds(settings_->quotas);
+    memory_->limit(settings_->message_memory());
 }
 
 retry_schedule& forwarder::retry_schedule_of(const forwarded_request& request)
@@ -442,12 +449,14 @@
             relay(session, route, times, std::string{*id});
         return;
     }
-    if (authenticated.account != nullptr &&
-        !charge(session, *authenticated.account, waited_since))
-        return;
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
+    if (refuse_without_memory(session, route, services))
+        return;
+    if (authenticated.account != nullptr &&
+        !charge(session, *authenticated.account, waited_since))
+        return;
     const boost::intrusive_ptr<forward_operation> operation{
         new forward_operation{
             *this,
@@ -460,6 +469,68 @@
     operation->begin();
 }
 
+void forwarder::record_answer_size(
+    const forward_route& route, std::size_t bytes)
+{
+    const auto known = answer_sizes_.find(route.name);
+    if (known == answer_sizes_.end()) {
+        if (bytes > memory_budget::unclaimed_bytes)
+            answer_sizes_.emplace(route.name, bytes);
+        return;
+    }
+    known->second =
+        std::max(bytes, known->second - known->second / size_decay_divisor);
+    if (known->second <= memory_budget::unclaimed_bytes)
+        answer_sizes_.erase(known);
+}
+
+bool forwarder::refuse_without_memory(
+    http_session& session,
+    const pinned_route& route,
+    const std::vector<forward_service_index>& services)
+{
+    if (!answer_sizes_.contains(route->name))
+        return false;
+    const auto name_of_service = [&](auto service) -> const std::string& {
+        return route.config()->services[service].name;
+    };
+    const bool fits =
+        memory_->used() <= memory_->capacity() &&
+        std::none_of(services.begin(), services.end(), [&](auto service) {
+            return memory_->overcommitted(name_of_service(service));
+        });
+    if (fits)
+        return false;
+    stats_->count("memory_refusals_total{route=\"" + route->name + "\"}");
+    if (session.request().fields.find(names_->relayed)) {
+        refuse_unreachable(session, no_memory, relayed_not_run);
+        return true;
+    }
+    const auto now = loop_->now();
+    refuse(
+        session,
+        503,
+        no_memory,
+        retry_schedules_[name_of_service(services.front())].reserve(
+            route->priority, now + retry_after_memory, now));
+    return true;
+}
+
+void forwarder::log_memory(time_point now)
+{
+    const auto waiting = memory_->waiting_bytes();
+    if (waiting == 0 || now < next_memory_log_)
+        return;
+    next_memory_log_ = now + memory_log_interval;
+    log_->write(
+        now,
+        event_severity::notable,
+        "messages_wait_for_memory",
+        {{"used", memory_->used()},
+         {"waiting", waiting},
+         {"capacity", memory_->capacity()}});
+}
+
 request_credentials
 forwarder::credentials_of(const request_message& request) const
 {
@@ -563,6 +634,7 @@
     log_retry_budgets(now);
     log_load_shedding(now);
     log_quota_refusals(now);
+    log_memory(now);
     exchange_crash_history();
     check_upstream_contact(now);
     std::vector<outgoing_message> messages;
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -10,6 +10,7 @@
 
 constexpr double max_cores = 1024;
 constexpr double max_ratio = 100;
+constexpr std::int64_t max_memory_mb = 1U << 20U;
 constexpr double max_extra_requests = 1e6;
 
 endpoint read_address(object_reader& from, std::string_view key)
@@ -85,6 +86,9 @@
     settings.region = instance.text("region");
     settings.capacity = static_cast<std::uint32_t>(
         1000 * instance.number("cores", 0, max_cores));
+    if (instance.has("memory_mb"))
+        settings.memory_mb = static_cast<std::uint32_t>(
+            instance.integer("memory_mb", 0, max_memory_mb));
     instance.finish();
     settings.listen = read_listeners(from.object("listen"));
     settings.seeds = read_seeds(from, "seeds", settings.listen.peers.port);
@@ -126,6 +130,7 @@
     append_unless_equal(from.domain == to.domain, "instance.domain");
     append_unless_equal(from.region == to.region, "instance.region");
     append_unless_equal(from.capacity == to.capacity, "instance.cores");
+    append_unless_equal(from.memory_mb == to.memory_mb, "instance.memory_mb");
     append_unless_equal(from.listen == to.listen, "listen");
     append_unless_equal(from.seeds == to.seeds, "seeds");
     append_unless_equal(from.store == to.store, "store");
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -180,6 +180,7 @@
     message.reason.clear();
     message.fields.clear();
     message.body.clear();
+    message.memory.clear();
     header_limit(max_header_bytes);
     body_limit(max_body_bytes);
     eager(true);
@@ -191,6 +192,13 @@
     return parse_input(*this, size_, input);
 }
 
+std::optional<std::size_t> response_reader::stated_body_bytes()
+{
+    if (!is_header_done() || !content_length())
+        return std::nullopt;
+    return static_cast<std::size_t>(*content_length());
+}
+
 read_state response_reader::consume_end()
 {
     if (!got_some() || !is_header_done())
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -163,6 +163,12 @@
 }
 
 void http_session::respond(std::string_view head, std::string_view body)
+{
+    respond(head, std::string{body}, {});
+}
+
+void http_session::respond(
+    std::string_view head, std::string&& body, std::vector<memory_claim> memory)
 {
     if (phase_ != phase::answering)
         return;
@@ -173,23 +179,38 @@
     output_ += "Content-Length: ";
     output_ += std::to_string(body.size());
     output_ += close ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n";
-    if (request_.method != "HEAD")
-        output_ += body;
+    if (request_.method != "HEAD") {
+        if (body.size() <= read_bytes)
+            output_ += body;
+        else {
+            large_body_ = std::move(body);
+            memory_ = std::move(memory);
+        }
+    }
     phase_ = phase::reading;
     state.reset();
     write_progress_at_ = loop_->now();
     flush();
 }
 
+std::string_view http_session::unsent() const noexcept
+{
+    return written_ < output_.size()
+               ? std::string_view{output_}.substr(written_)
+               : std::string_view{large_body_}.substr(
+                     written_ - output_.size());
+}
+
 void http_session::flush()
 {
     const boost::intrusive_ptr<http_session> guard{this};
-    while (written_ < output_.size()) {
+    for (auto rest = unsent(); !rest.empty(); rest = unsent()) {
+        const bool more = written_ < output_.size() && !large_body_.empty();
         const auto sent = ::send(
             socket_.descriptor(),
-            output_.data() + written_,
-            output_.size() - written_,
-            MSG_NOSIGNAL);
+            rest.data(),
+            rest.size(),
+            MSG_NOSIGNAL | (more ? MSG_MORE : 0));
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0 && errno == EAGAIN) {
@@ -205,13 +226,22 @@
     }
     if (output_.empty())
         return;
+    discard_output();
+    on_answer_sent();
+}
+
+void http_session::discard_output()
+{
     output_.clear();
+    std::string{}.swap(large_body_);
+    memory_.clear();
     written_ = 0;
-    on_answer_sent();
 }
 
 void http_session::on_answer_sent()
 {
+    if (request_.body.capacity() > read_bytes)
+        std::string{}.swap(request_.body);
     idle_since_ = loop_->now();
     if (close_after_answer_) {
         linger();
@@ -303,8 +333,7 @@
     phase_ = phase::closed;
     if (request_open)
         handler_->on_caller_disconnect(*this);
-    output_.clear();
-    written_ = 0;
+    discard_output();
     loop_->remove(socket_.descriptor(), *this);
     socket_.close();
     state.reset();
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -17,6 +17,8 @@
 constexpr keep_alive_times relay_keep_alive{seconds{1}, seconds{1}, 1};
 constexpr std::uint32_t service_unavailable = 503;
 constexpr std::uint32_t unauthorized = 401;
+/// Group of relayed answers in the memory budget.
+constexpr std::string_view memory_group = "relayed requests";
 
 } // namespace
 
@@ -43,6 +45,7 @@
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
+      memory_{*owner.memory_, answer_, [this] { update_events(); }},
       timer_{[this] { on_timeout(); }}
 {
     ++owner_->open_requests_;
@@ -80,7 +83,8 @@
         socket_ = std::move(*connecting);
         connected_ = false;
         self_ = this;
-        owner_->loop_->add(socket_.descriptor(), EPOLLIN | EPOLLOUT, *this);
+        watched_events_ = EPOLLIN | EPOLLOUT;
+        owner_->loop_->add(socket_.descriptor(), watched_events_, *this);
         owner_->loop_->arm(
             timer_, std::min(now + connect_timeout, times_.answer_deadline));
         return;
@@ -100,6 +104,7 @@
         owner_->loop_->remove(socket_.descriptor(), *this);
         socket_.close();
     }
+    memory_.cancel();
     input_.clear();
     reader_.reset();
     self_.reset();
@@ -166,7 +171,7 @@
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0 && errno == EAGAIN)
-            return;
+            break;
         if (sent < 0) {
             end_target(relay_result::failed);
             fail(502, "the relayed request was interrupted");
@@ -174,7 +179,20 @@
         }
         written_ += static_cast<std::size_t>(sent);
     }
-    owner_->loop_->modify(socket_.descriptor(), EPOLLIN, *this);
+    update_events();
+}
+
+void relay_operation::update_events()
+{
+    std::uint32_t events = 0;
+    if (!memory_.waiting())
+        events |= EPOLLIN;
+    if (!connected_ || written_ < output_.size())
+        events |= EPOLLOUT;
+    if (!socket_ || events == watched_events_)
+        return;
+    watched_events_ = events;
+    owner_->loop_->modify(socket_.descriptor(), events, *this);
 }
 
 void relay_operation::receive()
@@ -195,8 +213,14 @@
     else if (received == 0) {
         state = reader_->consume_end();
     }
-    if (state == read_state::incomplete)
+    if (state == read_state::incomplete) {
+        memory_.claim(
+            memory_group, *reader_, input_.size() + answer_.body.size());
+        if (memory_.waiting())
+            limit_receive_buffer(socket_);
+        update_events();
         return;
+    }
     if (state == read_state::complete) {
         on_answer();
         return;
@@ -217,9 +241,12 @@
     }
     end_target(relay_result::served);
     owner_->replaced_ = owner_->pool_.contact().lost();
+    memory_.on_complete();
     if (const auto session = std::exchange(session_, {}))
         session->respond(
-            forwarded_answer_head(answer_, *owner_->names_), answer_.body);
+            forwarded_answer_head(answer_, *owner_->names_),
+            std::move(answer_.body),
+            std::move(answer_.memory));
     end(answer_.status);
 }
 
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/gateway/answer_memory.hpp>
 #include <peridotward/gateway/forwarder.hpp>
 #include <peridotward/gateway/session_request.hpp>
 
@@ -49,6 +50,8 @@
     void send();
     void receive();
     void on_answer();
+    /// \brief Registers the events that the connection waits for in its state.
+    void update_events();
     /// \brief Closes the connection to the present target.
     void end_target(relay_result result);
     void fail(std::uint32_t status, std::string_view reason);
@@ -72,11 +75,13 @@
     /// Keeps this object while the reactor refers to it.
     boost::intrusive_ptr<relay_operation> self_;
     bool connected_ = false;
+    std::uint32_t watched_events_ = 0;
     std::string output_;
     std::size_t written_ = 0;
     std::string input_;
     response_message answer_;
     std::optional<response_reader> reader_;
+    answer_memory memory_;
     reactor_timer timer_;
 };
 
--- a/gateway/src/socket.cpp
+++ b/gateway/src/socket.cpp
@@ -16,6 +16,8 @@
 
 /// Max connections that wait to be accepted.
 constexpr int listen_backlog = 1024;
+/// Receive buffer of a connection that isn't read for a while.
+constexpr int paused_receive_bytes = 64 * 1024;
 
 sockaddr_in address_of(const endpoint& from)
 {
@@ -158,4 +160,10 @@
     return accepted;
 }
 
+void limit_receive_buffer(const unique_socket& socket) noexcept
+{
+    set_option(
+        socket.descriptor(), SOL_SOCKET, SO_RCVBUF, paused_receive_bytes);
+}
+
 } // namespace peridotward
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -64,19 +64,33 @@
     : pool_{&pool},
       replica_{replica},
       socket_{std::move(connecting)},
-      start_time_{pool.loop().now()}
+      start_time_{pool.loop().now()},
+      memory_{pool.memory(), answer_, [this] { update_events(); }}
 {}
 
 void upstream_connection::start()
 {
-    watched_events_ = EPOLLIN | EPOLLOUT;
+    watched_events_ = wanted_events();
     pool_->loop().add(socket_.descriptor(), watched_events_, *this);
     intrusive_ptr_add_ref(this); // The reactor's reference, until `close`.
     pool_->contact().on_tried(replica_, pool_->loop().now());
 }
 
-void upstream_connection::set_events(std::uint32_t events)
+std::uint32_t upstream_connection::wanted_events() const noexcept
 {
+    if (phase_ == phase::connecting)
+        return EPOLLIN | EPOLLOUT;
+    std::uint32_t events = 0;
+    if (!memory_.waiting())
+        events |= EPOLLIN;
+    if (phase_ == phase::busy && written_ < output_.size())
+        events |= EPOLLOUT;
+    return events;
+}
+
+void upstream_connection::update_events()
+{
+    const auto events = wanted_events();
     if (phase_ == phase::closed || events == watched_events_)
         return;
     watched_events_ = events;
@@ -136,7 +150,7 @@
             on_connected();
         return;
     }
-    if ((events & EPOLLOUT) != 0)
+    if ((events & EPOLLOUT) != 0 && phase_ == phase::busy)
         flush();
     if (phase_ != phase::closed &&
         (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
@@ -146,9 +160,9 @@
 void upstream_connection::on_connected()
 {
     pool_->contact().on_heard();
-    set_events(EPOLLIN);
     if (!request_.owner) {
         phase_ = phase::idle;
+        update_events();
         idle_since_ = pool_->loop().now();
         pool_->send_waiting(replica_);
         return;
@@ -157,6 +171,7 @@
         // The replica was excluded, or asked for a pause, while this connection
         // was being made.
         phase_ = phase::idle;
+        update_events();
         idle_since_ = pool_->loop().now();
         report(forward_outcome::unsent, nullptr);
         return;
@@ -178,7 +193,7 @@
         if (sent < 0 && errno == EINTR)
             continue;
         if (sent < 0 && errno == EAGAIN) {
-            set_events(EPOLLIN | EPOLLOUT);
+            update_events();
             return;
         }
         if (sent < 0) {
@@ -187,7 +202,7 @@
         }
         written_ += static_cast<std::size_t>(sent);
     }
-    set_events(EPOLLIN);
+    update_events();
 }
 
 void upstream_connection::receive()
@@ -215,7 +230,14 @@
     parse();
     if (phase_ == phase::busy) {
         set_buffered(input_.size() + answer_.body.size());
-        pool_->limit_buffered();
+        if (reader_)
+            memory_.claim(
+                pool_->catalog().at(replica_).published.service,
+                *reader_,
+                buffered_);
+        if (memory_.waiting())
+            limit_receive_buffer(socket_);
+        update_events();
     }
 }
 
@@ -268,6 +290,7 @@
 void upstream_connection::on_answer()
 {
     reader_.reset();
+    memory_.on_complete();
     const auto answer_id = answer_.fields.find(pool_->names().request_id);
     if (answer_id && *answer_id != request_.request_id) {
         // A late duplicate answer to an earlier request; the answer to the
@@ -303,6 +326,7 @@
     report(outcome, &answer_);
     if (answer_.body.capacity() > read_bytes)
         std::string{}.swap(answer_.body);
+    answer_.memory.clear();
 }
 
 void upstream_connection::record_answer_fields()
@@ -427,6 +451,7 @@
     if (phase_ == phase::closed)
         return;
     phase_ = phase::closed;
+    memory_.cancel();
     set_buffered(0);
     if (is_linked())
         unlink();
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -265,22 +265,6 @@
         send_waiting(number);
 }
 
-void upstream_pool::limit_buffered()
-{
-    while (buffered_bytes_ > max_buffered_bytes) {
-        boost::intrusive_ptr<upstream_connection> largest;
-        for (auto& replica : connections_) {
-            for (auto& connection : replica.connections) {
-                if (!largest || connection.buffered() > largest->buffered())
-                    largest = &connection;
-            }
-        }
-        if (!largest)
-            return;
-        largest->give_up();
-    }
-}
-
 void upstream_pool::remove_replica(replica_number number)
 {
     if (connections_.size() <= number)
--- a/gateway/tests/endless_upstream_test.cpp
+++ b/gateway/tests/endless_upstream_test.cpp
@@ -6,7 +6,10 @@
 #include <catch2/catch.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <limits>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,8 +24,12 @@
 class endless_replica
 {
 public:
-    endless_replica(std::string begin, std::string repeated)
-        : begin_{std::move(begin)}
+    /// \param limit Bytes that are sent on each connection.
+    endless_replica(
+        std::string begin,
+        std::string repeated,
+        std::size_t limit = std::numeric_limits<std::size_t>::max())
+        : begin_{std::move(begin)}, limit_{limit}
     {
         while (repeated_.size() < 65536)
             repeated_ += repeated;
@@ -44,10 +51,10 @@
             loop.run_once();
             if (auto accepted = accept_tcp(listener_.descriptor());
                 accepted.socket) {
-                write(accepted.socket, begin_);
-                connections_.push_back(std::move(accepted.socket));
+                connections_.push_back({std::move(accepted.socket), 0});
+                write(connections_.back(), begin_);
             }
-            for (const auto& connection : connections_)
+            for (auto& connection : connections_)
                 write(connection, repeated_);
             most_buffered = std::max(most_buffered, pool.buffered_bytes());
         }
@@ -61,16 +68,58 @@
     std::size_t most_buffered = 0;
 
 private:
-    void write(const unique_socket& to, const std::string& bytes)
+    struct connection
+    {
+        unique_socket socket;
+        std::size_t sent;
+    };
+
+    void write(connection& to, std::string_view bytes) const
     {
         // What the socket doesn't take is dropped: the bytes repeat.
-        (void)::send(to.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        const auto sent = ::send(
+            to.socket.descriptor(),
+            bytes.data(),
+            std::min(bytes.size(), limit_ - to.sent),
+            MSG_NOSIGNAL);
+        to.sent += sent > 0 ? static_cast<std::size_t>(sent) : 0;
     }
 
     std::string begin_;
+    std::size_t limit_;
     std::string repeated_;
     unique_socket listener_;
-    std::vector<unique_socket> connections_;
+    std::vector<connection> connections_;
+};
+
+/// Sends requests to the replica 0 and keeps the answers, as for callers that
+/// read late.
+class keeping_owner final : public attempt_owner
+{
+public:
+    void send(upstream_pool& pool, std::uint32_t attempt)
+    {
+        upstream_request request;
+        request.owner = this;
+        request.attempt = attempt;
+        request.expires_at = pool.loop().now() + seconds{10};
+        REQUIRE(pool.send(0, std::move(request), {100}));
+    }
+    void on_attempt_written(std::uint32_t) override {}
+    [[nodiscard]] std::string serialize_attempt(std::uint32_t) const override
+    {
+        return "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    }
+
+    std::vector<response_message> kept;
+
+private:
+    void on_attempt_end(
+        std::uint32_t, forward_outcome, response_message* answer) override
+    {
+        REQUIRE(answer != nullptr);
+        kept.push_back(std::move(*answer));
+    }
 };
 
 } // namespace
@@ -108,7 +157,7 @@
     for (std::uint32_t i = 0; i < requests; ++i)
         REQUIRE(owner->send(replica.pool, i, 100, seconds{10}));
     replica.run(4000);
-    CHECK(replica.most_buffered <= upstream_pool::max_buffered_bytes);
+    CHECK(replica.most_buffered <= memory_budget::default_capacity);
     CHECK(
         owner->ended ==
         std::vector<forward_outcome>(requests, forward_outcome::broken));
@@ -129,3 +178,60 @@
     CHECK(
         owner->ended == std::vector<forward_outcome>{forward_outcome::failed});
 }
+
+// Guards against whole large answers that use up the memory while their callers
+// read late.
+TEST_CASE("pool: large answers wait until others are taken", "[pool]")
+{
+    constexpr std::size_t length = 2U << 20U;
+    constexpr std::uint32_t requests = 40;
+    endless_replica replica{
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+            "\r\n\r\n",
+        "abc"};
+    const boost::intrusive_ptr<keeping_owner> owner{new keeping_owner};
+    for (std::uint32_t i = 0; i < requests; ++i)
+        owner->send(replica.pool, i);
+    auto& memory = replica.pool.memory();
+    std::size_t answered = 0;
+    while (answered < requests) {
+        replica.run(1000);
+        INFO(answered << " answered");
+        REQUIRE_FALSE(owner->kept.empty());
+        CHECK(memory.used() <= memory.capacity());
+        CHECK(owner->kept.size() * length <= memory.capacity());
+        for (const auto& answer : owner->kept)
+            CHECK(answer.body.size() == length);
+        answered += owner->kept.size();
+        owner->kept.clear();
+    }
+    CHECK(answered == requests);
+    CHECK(memory.used() == 0);
+    CHECK(memory.waiting_bytes() == 0);
+}
+
+// Guards against a replica whose answers trickle in until their deadline, and
+// hold up the small answers of others.
+TEST_CASE("pool: answers that wait for memory end by their deadline", "[pool]")
+{
+    constexpr std::uint32_t requests = 20;
+    endless_replica replica{
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(15U << 20U) +
+            "\r\n\r\n",
+        "abc",
+        14U << 20U};
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    for (std::uint32_t i = 0; i < requests; ++i)
+        REQUIRE(owner->send(replica.pool, i, 100, seconds{10}));
+    replica.run(2000);
+    CHECK(replica.most_buffered <= memory_budget::default_capacity);
+    CHECK(replica.pool.memory().waiting_bytes() > 0);
+    replica.clock.advance(seconds{11});
+    replica.loop.refresh();
+    replica.pool.check(replica.loop.now());
+    CHECK(
+        owner->ended ==
+        std::vector<forward_outcome>(requests, forward_outcome::broken));
+    CHECK(replica.pool.memory().used() == 0);
+    CHECK(replica.pool.memory().waiting_bytes() == 0);
+}
