gateway: large requests claim memory before they are read

Change: a request claims its body, three times, before more than 16 KB of it are read. One that gets no claim within the header timeout is refused with 503 and Retry-After; it has not run. An idle connection keeps no large body.

--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -75,6 +75,10 @@
     void on_request(http_session& session) override;
     void on_caller_disconnect(http_session& session) override;
     [[nodiscard]] caller_limits limits() const override;
+    [[nodiscard]] memory_budget* request_memory() override
+    {
+        return memory_.get();
+    }
     [[nodiscard]] bool closing() const override
     {
         return shutdown_.has_value();
@@ -106,7 +110,7 @@
 
     [[nodiscard]] account_quotas& quotas() noexcept { return quotas_; }
 
-    /// \returns The memory of large answers.
+    /// \returns The memory of large requests and answers.
     [[nodiscard]] const memory_budget& memory() const noexcept
     {
         return *memory_;
--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -104,6 +104,10 @@
     /// after the end of the message stay in `input`.
     [[nodiscard]] read_state consume(std::string& input);
 
+    /// \returns The size of the whole body, or of the largest accepted one if
+    /// the head hasn't stated it.
+    [[nodiscard]] std::size_t expected_body_bytes();
+
 private:
     using error_code = boost::beast::error_code;
     using string_view = boost::beast::string_view;
--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -36,6 +36,9 @@
     /// \returns Size limits of requests and timeouts of connections.
     [[nodiscard]] virtual caller_limits limits() const = 0;
 
+    /// \returns The memory of large requests, or null if it isn't limited.
+    [[nodiscard]] virtual memory_budget* request_memory() { return nullptr; }
+
     /// \returns Whether connections are closed after each answer.
     [[nodiscard]] virtual bool closing() const { return false; }
 
@@ -63,6 +66,9 @@
     /// Time without a request after which a connection counts as idle at a
     /// stop: the request of a caller that has just connected is on its way.
     static constexpr milliseconds min_idle_time{200};
+    /// Copies of a large request's body that are held at the same time: of the
+    /// session, of the work on the request, and in the output to an upstream.
+    static constexpr std::size_t body_copies = 3;
 
     http_session(
         reactor& loop, accepted_connection accepted, http_handler& handler);
@@ -148,6 +154,9 @@
     void on_events(std::uint32_t events) override;
     void receive();
     void parse();
+    /// \brief Claims memory for a request that turns out to be large; while the
+    /// claim waits, the request isn't read.
+    void claim_memory();
     /// \brief A whole request, or one to refuse, is open from now on.
     void begin_request();
     void refuse(std::uint32_t status);
@@ -174,6 +183,8 @@
     std::uint64_t request_number_ = 0;
     std::unique_ptr<request_reader> reader_;
     std::string input_;
+    memory_claim request_memory_; ///< For a large body of the request.
+    memory_waiter memory_waiter_;
     std::string output_;     ///< Head of the answer, and a short body.
     std::string large_body_; ///< Follows `output_`.
     std::vector<memory_claim> memory_; ///< For `large_body_`.
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -132,6 +132,13 @@
     return parse_input(*this, size_, input);
 }
 
+std::size_t request_reader::expected_body_bytes()
+{
+    return is_header_done() && content_length()
+               ? static_cast<std::size_t>(*content_length())
+               : size_.max_body_bytes;
+}
+
 void request_reader::on_request_impl(
     http::verb, string_view method, string_view target, int, error_code&)
 {
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -12,6 +12,14 @@
 
 namespace peridotward {
 
+namespace {
+
+/// Group of requests in the memory budget.
+constexpr std::string_view memory_group = "requests";
+constexpr std::uint32_t service_unavailable = 503;
+
+} // namespace
+
 std::string_view reason_phrase(std::uint32_t status) noexcept
 {
     switch (status) {
@@ -46,6 +54,10 @@
       socket_{std::move(accepted.socket)},
       caller_host_{std::move(accepted.host)},
       handler_{&handler},
+      memory_waiter_{[this](memory_claim claim) {
+          request_memory_ = std::move(claim);
+          update_events();
+      }},
       idle_since_{loop.now()}
 {}
 
@@ -62,7 +74,8 @@
 {
     std::uint32_t events = EPOLLRDHUP;
     const bool can_parse = phase_ == phase::reading && output_.empty();
-    if (phase_ == phase::lingering || can_parse || input_.size() <= read_bytes)
+    if (!memory_waiter_.waiting() && (phase_ == phase::lingering || can_parse ||
+                                      input_.size() <= read_bytes))
         events |= EPOLLIN;
     if (!output_.empty())
         events |= EPOLLOUT;
@@ -120,6 +133,7 @@
     }
     switch (reader_->consume(input_)) {
     case read_state::incomplete:
+        claim_memory();
         return;
     case read_state::complete:
         begin_request();
@@ -137,8 +151,22 @@
     }
 }
 
+void http_session::claim_memory()
+{
+    auto* const budget = handler_->request_memory();
+    if (budget == nullptr || request_memory_.bytes() > 0 ||
+        memory_waiter_.waiting() ||
+        request_.body.size() + input_.size() <= memory_budget::unclaimed_bytes)
+        return;
+    request_memory_ = budget->claim(
+        memory_group,
+        body_copies * reader_->expected_body_bytes(),
+        memory_waiter_);
+}
+
 void http_session::begin_request()
 {
+    memory_waiter_.cancel();
     reader_.reset();
     phase_ = phase::answering;
     ++request_number_;
@@ -148,7 +176,12 @@
 {
     begin_request();
     close_after_answer_ = true;
-    respond(status, "text/plain", reason_phrase(status));
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head += reason_phrase(status);
+    head += "\r\nContent-Type: text/plain\r\n";
+    if (status == service_unavailable)
+        head += "Retry-After: 1\r\n";
+    respond(head, reason_phrase(status));
 }
 
 void http_session::respond(
@@ -242,6 +275,7 @@
 {
     if (request_.body.capacity() > read_bytes)
         std::string{}.swap(request_.body);
+    request_memory_.release();
     idle_since_ = loop_->now();
     if (close_after_answer_) {
         linger();
@@ -295,7 +329,7 @@
     else if (phase_ == phase::reading && output_.empty()) {
         const bool started = reader_ != nullptr;
         if (started && now - start_time_ > limits.header_timeout)
-            refuse(408);
+            refuse(memory_waiter_.waiting() ? service_unavailable : 408);
         else if (
             !started && now - idle_since_ > limits.idle_timeout &&
             !has_unread_bytes())
@@ -331,9 +365,11 @@
     const boost::intrusive_ptr<http_session> guard{this, false};
     const bool request_open = phase_ == phase::answering;
     phase_ = phase::closed;
+    memory_waiter_.cancel();
     if (request_open)
         handler_->on_caller_disconnect(*this);
     discard_output();
+    request_memory_.release();
     loop_->remove(socket_.descriptor(), *this);
     socket_.close();
     state.reset();
