gateway: a queued attempt that a lower limit drops is reported

Cause: send_waiting() puts a request that found no connection back into the queue, under a limit that may have fallen since it was queued, and ignored the one that was dropped then.

Change: the dropped attempt is reported as unsent.

Measured: gateway_tests "[pool]": the new case fails without the change, as the queue loses attempts; 71 of 71 cases pass with it.

--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -211,13 +211,15 @@
             continue;
         }
         const auto urgency = request->urgency;
-        // Doesn't fail: the request was in the queue before `pop`.
-        (void)replica.waiting.push(
+        auto evicted = replica.waiting.push(
             std::move(*request),
             urgency,
             replica.limits.max_count + 1,
             loop_->now());
-        return;
+        if (!evicted)
+            return;
+        // The limits are lower than when the requests were queued.
+        report_unsent(*evicted);
     }
 }
 
--- a/gateway/tests/upstream_pool_test.cpp
+++ b/gateway/tests/upstream_pool_test.cpp
@@ -277,3 +277,27 @@
     replica.advance_time(milliseconds{100});
     CHECK(replica.pool.connection_count() == 0);
 }
+
+// Guards against an attempt that is dropped without a report when the limits
+// have fallen since it was queued: its request never ends.
+TEST_CASE("pool: queued attempts beyond a lower limit are reported", "[pool]")
+{
+    constexpr std::uint32_t before = 4;
+    constexpr std::uint32_t attempts = 5 * before;
+    silent_replica replica;
+    const boost::intrusive_ptr<recording_owner> owner{new recording_owner};
+    for (std::uint32_t i = 0; i < attempts; ++i) {
+        upstream_request request;
+        request.owner = owner;
+        request.attempt = i;
+        request.expires_at = replica.clock.now() + seconds{60};
+        REQUIRE(replica.pool.send(0, std::move(request), {before}));
+    }
+    REQUIRE(replica.pool.waiting_count() == attempts - before);
+    replica.pool.limit_connections(0, {1});
+    replica.pool.send_waiting(0);
+    CHECK(
+        owner->ended.size() + replica.pool.waiting_count() ==
+        attempts - before);
+    CHECK(replica.pool.waiting_count() < attempts - before);
+}
