gateway: a relayed request may have a larger head

Change: connections from addresses of other instances may send 1 KB more.

Measured: the fault was not shown.

--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -45,6 +45,8 @@
     static constexpr std::string_view relayed_cut_off = "cut-off";
     static constexpr std::string_view relayed_declined = "older-route";
     static constexpr std::string_view relayed_not_run = "not-run";
+    /// What instances add to the head of a request that they relay, at most.
+    static constexpr std::size_t relay_head_bytes = 1024;
     /// Reason of refusals while the upstreams are overloaded.
     static constexpr std::string_view overloaded =
         "not run: the upstreams are overloaded";
@@ -75,6 +77,8 @@
     void on_request(http_session& session) override;
     void on_caller_disconnect(http_session& session) override;
     [[nodiscard]] caller_limits limits() const override;
+    [[nodiscard]] std::size_t
+    extra_head_bytes(const http_session& session) const override;
     [[nodiscard]] memory_budget* request_memory() override
     {
         return memory_.get();
@@ -244,6 +248,8 @@
     [[nodiscard]] bool is_behind(
         const request_message& request,
         const std::optional<pinned_route>& route) const;
+    /// \returns Whether another instance runs at the address of the caller.
+    [[nodiscard]] bool is_instance(const std::string& host) const;
     /// \returns The network address of the caller, also if another instance
     /// relayed the request.
     [[nodiscard]] std::string_view caller_of(const http_session& session) const;
--- a/gateway/include/peridotward/gateway/http_session.hpp
+++ b/gateway/include/peridotward/gateway/http_session.hpp
@@ -36,6 +36,13 @@
     /// \returns Size limits of requests and timeouts of connections.
     [[nodiscard]] virtual caller_limits limits() const = 0;
 
+    /// \returns What the head of a request may have beyond the limit.
+    [[nodiscard]] virtual std::size_t
+    extra_head_bytes(const http_session&) const
+    {
+        return 0;
+    }
+
     /// \returns The memory of large requests, or null if it isn't limited.
     [[nodiscard]] virtual memory_budget* request_memory() { return nullptr; }
 
--- a/gateway/src/forwarder_protection.cpp
+++ b/gateway/src/forwarder_protection.cpp
@@ -162,12 +162,21 @@
     const auto relayed = session.request().fields.find(names_->relayed);
     if (!relayed)
         return host;
-    const bool from_instance = std::any_of(
+    return is_instance(host) ? *relayed : host;
+}
+
+bool forwarder::is_instance(const std::string& host) const
+{
+    return std::any_of(
         fleet_.others.begin(), fleet_.others.end(), [&](const auto& id) {
             return id.size() > host.size() && id.starts_with(host) &&
                    id[host.size()] == ':';
         });
-    return from_instance ? *relayed : host;
+}
+
+std::size_t forwarder::extra_head_bytes(const http_session& session) const
+{
+    return is_instance(session.caller_host()) ? relay_head_bytes : 0;
 }
 
 bool forwarder::refuse_quarantined(
--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -129,7 +129,9 @@
     if (!reader_) {
         const auto limits = handler_->limits();
         reader_ = std::make_unique<request_reader>(
-            request_, limits.max_header_bytes, limits.max_body_bytes);
+            request_,
+            limits.max_header_bytes + handler_->extra_head_bytes(*this),
+            limits.max_body_bytes);
     }
     switch (reader_->consume(input_)) {
     case read_state::incomplete:
