gateway: the end of a caller's stream closes a connection that isn't read

Cause: a connection that has buffered enough of the next request waits for no more bytes, but the end of the stream let it read on, up to what the socket held.

Change: the caller has left, so the connection is closed at once.

--- a/gateway/src/http_session.cpp
+++ b/gateway/src/http_session.cpp
@@ -96,8 +96,11 @@
     const boost::intrusive_ptr<http_session> guard{this};
     if ((events & EPOLLOUT) != 0)
         flush();
-    if (phase_ != phase::closed &&
-        (events & (EPOLLIN | EPOLLHUP | EPOLLERR | EPOLLRDHUP)) != 0)
+    if (phase_ == phase::closed)
+        return;
+    if ((events & EPOLLRDHUP) != 0 && (watched_events_ & EPOLLIN) == 0)
+        close(); // The caller has left; what it sent before isn't read.
+    else if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR | EPOLLRDHUP)) != 0)
         receive();
 }
 
--- a/gateway/tests/slow_caller_test.cpp
+++ b/gateway/tests/slow_caller_test.cpp
@@ -99,6 +99,8 @@
     sized_handler handler;
     boost::intrusive_ptr<http_session> session;
 
+    void leave() { ::shutdown(socket_.descriptor(), SHUT_WR); }
+
 private:
     unique_socket socket_;
 };
@@ -185,3 +187,20 @@
     // The socket pair holds less than 1 MB.
     CHECK(caller.output.size() > early - (1U << 20U));
 }
+
+TEST_CASE(
+    "slow caller: one that leaves is noticed while its requests wait",
+    "[slow_caller]")
+{
+    slow_caller caller;
+    caller.output = post(large_size, 0);
+    for (int i = 0; i < 10; ++i)
+        caller.run();
+    caller.output.assign(1U << 20U, 'x');
+    for (int i = 0; i < 100; ++i)
+        caller.run();
+    REQUIRE(caller.session->busy());
+    caller.leave();
+    caller.run();
+    CHECK_FALSE(caller.session->busy());
+}
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -9,6 +9,8 @@
 
 namespace peridotward::soak {
 
+using testing::endless_bytes;
+
 namespace {
 
 constexpr int max_stop_ms = 6500;
@@ -631,6 +633,93 @@
         {"shed", [&](auto& random) { shed_at_service(random); }}};
 }
 
+void soak_environment::silence_replicas(random_source& random)
+{
+    const auto from = steady::now();
+    // Either for all instances, or for every second one: the others serve what
+    // those relay, while their configurations change.
+    const bool everywhere = random.below(2) == 0;
+    const auto set_silent = [&](bool silent) {
+        run_on_standin_thread([&] {
+            for (auto* links : {&replica_links_, &second_replica_links_}) {
+                if (!everywhere && links == &replica_links_)
+                    continue;
+                for (const auto& link : *links) {
+                    if (silent) {
+                        // A new connection would be a sign of the replica.
+                        link->close();
+                        link->set_fault({{}, true, true});
+                        continue;
+                    }
+                    link->set_fault({});
+                    link->reset();
+                    link->open();
+                }
+            }
+        });
+    };
+    set_silent(true);
+    for (auto configs = 2 + random.below(5); configs > 0; --configs) {
+        sleep_random(random, milliseconds{20}, 300);
+        change_config(random);
+    }
+    sleep_random(random, milliseconds{300}, 1000);
+    set_silent(false);
+    record_disturbance_since(all_instances, from);
+    sleep_random(random, milliseconds{500}, 3000);
+}
+
+void soak_environment::write_foreign_keys(random_source& random)
+{
+    std::vector<std::string> keys;
+    run_on_standin_thread([&] {
+        for (const auto& replica : replicas_.all()) {
+            if (replica->service == "desk")
+                keys.push_back("servers/notes/" + replica->id);
+        }
+        for (const auto& key : keys)
+            store_.put(key, "not an entry");
+    });
+    sleep_random(random, milliseconds{500}, 2500);
+    if (random.below(2) == 0)
+        run_on_standin_thread([&] {
+            for (const auto& key : keys)
+                store_.remove(key);
+        });
+}
+
+void soak_environment::send_endless_answers(random_source& random)
+{
+    const auto replica = reserve_replica(random);
+    const bool whole_service = random.below(3) == 0;
+    const auto kind = static_cast<endless_bytes>(
+        1 + random.below(static_cast<std::uint64_t>(endless_bytes::body)));
+    const auto from = steady::now();
+    const auto set = [&](endless_bytes bytes) {
+        run_on_standin_thread([&] {
+            for (const auto& each : replicas_.all()) {
+                if (each == replica ||
+                    (whole_service && each->service == replica->service))
+                    each->endless = bytes;
+            }
+        });
+    };
+    set(kind);
+    sleep_random(random, milliseconds{300}, 1500);
+    set(endless_bytes::none);
+    if (whole_service)
+        record_disturbance_since(all_instances, from);
+    release_replica(replica);
+}
+
+std::vector<fault_kind> soak_environment::message_faults()
+{
+    return {
+        {"foreign keys", [&](auto& random) { write_foreign_keys(random); }},
+        {"endless answers",
+         [&](auto& random) { send_endless_answers(random); }}};
+}
+
 std::vector<fault_kind> soak_environment::stop_faults()
 {
     return {{"late requests", [&](auto& random) {
@@ -638,6 +727,22 @@
              }}};
 }
 
+std::vector<std::vector<fault_kind>> soak_environment::stress_series()
+{
+    const fault_kind silence{
+        "silence", [&](auto& random) { silence_replicas(random); }};
+    const fault_kind config{"config", [&](auto& random) {
+                                change_config(random);
+                                sleep_random(random, milliseconds{500}, 1500);
+                            }};
+    const fault_kind reload{"reload", [&](auto& random) {
+                                fleet_->signal(random_instance(random), SIGHUP);
+                                sleep_random(random, milliseconds{200}, 1500);
+                            }};
+    return {
+        {plays_late_readers() ? config : silence}, message_faults(), {reload}};
+}
+
 std::vector<std::vector<fault_kind>> soak_environment::series_of_run()
 {
     std::vector<std::vector<fault_kind>> mixed{
@@ -650,6 +755,8 @@
         cut_faults()};
     if (options_->series == soak_series::base)
         return mixed;
+    if (plays_stress())
+        return stress_series();
     switch (seed_ % profiles) {
     case 0: {
         // Planned work alone: most other faults excuse requests that are cut.
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -6,17 +6,24 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 namespace peridotward::soak {
 
 fleet::fleet(
-    std::string program, std::string folder, run_addresses addresses, int size)
+    std::string program,
+    std::string folder,
+    run_addresses addresses,
+    int size,
+    std::size_t memory_mb)
     : program_{std::move(program)},
       folder_{std::move(folder)},
       addresses_{addresses},
+      memory_mb_{memory_mb},
       processes_(static_cast<std::size_t>(size), 0),
       ending_(static_cast<std::size_t>(size), false)
 {
@@ -39,9 +46,13 @@
     const auto address_of = [&](int port) {
         return "\"" + host + ":" + std::to_string(port) + "\"";
     };
+    const auto memory = memory_mb_ == 0
+                            ? std::string{}
+                            : ",\"memory_mb\":" + std::to_string(memory_mb_);
     std::ofstream{path}
         << "{\"instance\":{\"id\":\"i" << instance << "\",\"domain\":\"d"
-        << instance % 3 << "\",\"region\":\"r\",\"cores\":1},\"listen\":{"
+        << instance % 3 << "\",\"region\":\"r\",\"cores\":1" << memory
+        << "},\"listen\":{"
         << "\"callers\":" << address_of(callers_port)
         << ",\"ready\":" << address_of(8081)
         << ",\"directory\":" << address_of(8082)
@@ -72,6 +83,11 @@
         // Sockets of the stand-ins, also those of other seeds, would keep their
         // addresses and connections in use.
         ::close_range(STDERR_FILENO + 1, ~0U, 0);
+        // A reload may come before the program can handle it.
+        sigset_t reload;
+        ::sigemptyset(&reload);
+        ::sigaddset(&reload, SIGHUP);
+        ::sigprocmask(SIG_BLOCK, &reload, nullptr);
         ::execl(
             program_.c_str(),
             program_.c_str(),
@@ -85,9 +101,9 @@
     ending_[static_cast<std::size_t>(instance)] = false;
 }
 
-std::vector<fleet::ended_process> fleet::restart_ended()
+std::vector<int> fleet::restart_ended()
 {
-    std::vector<ended_process> ended;
+    std::vector<int> ended;
     {
         const std::lock_guard lock{mutex_};
         for (std::size_t i = 0; i < processes_.size(); ++i) {
@@ -96,16 +112,33 @@
                 ::waitpid(processes_[i], &status, WNOHANG) != processes_[i])
                 continue;
             processes_[i] = 0;
-            const bool by_reload =
-                WIFSIGNALED(status) && WTERMSIG(status) == SIGHUP;
-            ended.push_back({static_cast<int>(i), !by_reload});
+            ended.push_back(static_cast<int>(i));
         }
     }
-    for (const auto& each : ended)
-        start(each.instance);
+    for (const int instance : ended)
+        start(instance);
     return ended;
 }
 
+std::size_t fleet::peak_memory_mb(int instance)
+{
+    pid_t process = 0;
+    {
+        const std::lock_guard lock{mutex_};
+        process = processes_[static_cast<std::size_t>(instance)];
+    }
+    if (process <= 0)
+        return 0;
+    std::ifstream status{"/proc/" + std::to_string(process) + "/status"};
+    std::string line;
+    while (std::getline(status, line)) {
+        constexpr std::string_view key = "VmHWM:";
+        if (line.starts_with(key))
+            return std::strtoull(line.c_str() + key.size(), nullptr, 10) >> 10U;
+    }
+    return 0;
+}
+
 void fleet::signal(int instance, int number)
 {
     const std::lock_guard lock{mutex_};
--- a/soak/fleet.hpp
+++ b/soak/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -37,11 +38,13 @@
     static constexpr std::uint16_t callers_port = 8080;
     static constexpr std::uint16_t first_store_port = 9100;
 
+    /// \param memory_mb Limit of memory in the settings; 0 for none.
     fleet(
         std::string program,
         std::string folder,
         run_addresses addresses,
-        int size);
+        int size,
+        std::size_t memory_mb);
     ~fleet();
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
@@ -50,18 +53,13 @@
     /// \throws std::runtime_error when the fork fails.
     void start(int instance);
     void signal(int instance, int number);
-    /// A process that ended without a signal of the run that ends it.
-    struct ended_process
-    {
-        int instance = 0;
-        /// Whether no signal ended it: a reload that comes before the program
-        /// handles signals ends the process.
-        bool by_itself = true;
-    };
+    /// \returns The largest resident size of the process so far, in MB; 0 if it
+    /// isn't running.
+    [[nodiscard]] std::size_t peak_memory_mb(int instance);
 
-    /// \returns The processes that ended since the last call; they are started
-    /// again.
-    std::vector<ended_process> restart_ended();
+    /// \returns The instances whose processes ended without a signal of the run
+    /// that ends them, since the last call; they are started again.
+    std::vector<int> restart_ended();
 
     /// Waits for a signalled process to exit and kills it after `max_wait_ms`.
     /// \returns Whether the process exited before it was killed.
@@ -81,7 +79,8 @@
     std::string program_;
     std::string folder_;
     run_addresses addresses_;
-    std::mutex mutex_; ///< Guards the members below.
+    std::size_t memory_mb_; ///< As the settings state it; 0: not stated.
+    std::mutex mutex_;      ///< Guards the members below.
     std::vector<pid_t> processes_;
     /// Whether a signal that ends the process was sent.
     std::vector<bool> ending_;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -58,6 +58,54 @@
     return body;
 }
 
+std::size_t invariant_checker::answer_bytes(const std::string& target)
+{
+    if (target.starts_with("/large/"))
+        return large_answer_bytes;
+    return target.starts_with("/huge/") ? huge_answer_bytes : 0;
+}
+
+void invariant_checker::record_memory(int instance, std::size_t peak_mb)
+{
+    const std::lock_guard lock{mutex_};
+    auto& known = peak_mb_[instance];
+    known = std::max(known, peak_mb);
+}
+
+std::size_t invariant_checker::peak_memory_mb() const
+{
+    const std::lock_guard lock{mutex_};
+    std::size_t most = 0;
+    for (const auto& [instance, peak_mb] : peak_mb_)
+        most = std::max(most, peak_mb);
+    return most;
+}
+
+void invariant_checker::check_memory(std::vector<std::string>& violations) const
+{
+    for (const auto& [instance, peak_mb] : peak_mb_) {
+        if (peak_mb > memory_limit_mb)
+            violations.push_back(
+                "memory: instance " + std::to_string(instance) + " used " +
+                std::to_string(peak_mb) + " MB");
+    }
+}
+
+void invariant_checker::check_late_readers(
+    std::vector<std::string>& violations) const
+{
+    for (const auto& record : attempts_) {
+        if (!record.reads_late || record.status != 0 ||
+            record.refused_to_connect ||
+            is_interrupted(record.instance, record.sent, record.ended))
+            continue;
+        violations.push_back(
+            "no answer to a late reader: " + record.id + " by instance " +
+            std::to_string(record.instance) + ", " +
+            std::to_string(record.body.size()) + " bytes");
+    }
+}
+
 void invariant_checker::record_own_end(int instance)
 {
     const std::lock_guard lock{mutex_};
@@ -224,6 +272,8 @@
     check_crashes(violations);
     check_cuts(violations);
     check_recoveries(violations);
+    check_memory(violations);
+    check_late_readers(violations);
     for (const int instance : own_ends_)
         violations.push_back(
             "instance " + std::to_string(instance) + " ended by itself");
@@ -238,11 +288,7 @@
             continue;
         if (record.path.starts_with("/search/"))
             check_search(record, violations);
-        else if (
-            record.body !=
-            body_of(
-                record.id,
-                record.path.starts_with("/large/") ? large_answer_bytes : 0))
+        else if (record.body != body_of(record.id, answer_bytes(record.path)))
             violations.push_back(
                 "mixed: " + record.id + " got \"" + record.body.substr(0, 80) +
                 "\"");
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -30,6 +30,8 @@
     /// Sent on a connection that was idle, which the instance may close at the
     /// same moment.
     bool on_idle_connection = false;
+    /// The caller reads until the answer, or the end of the connection.
+    bool reads_late = false;
 };
 
 /// One execution of a request by a replica.
@@ -126,6 +128,10 @@
 
     /// Size of an answer that is larger than the buffers of a connection.
     static constexpr std::size_t large_answer_bytes = 256U << 10U;
+    /// Size of the answers of callers that read late.
+    static constexpr std::size_t huge_answer_bytes = 2U << 20U;
+    /// Limit of the memory of one process, as on the machines of the platform.
+    static constexpr std::size_t memory_limit_mb = 260;
     /// Begins the ids of servers that are no replicas.
     static constexpr const char* foreign_id = "foreign";
 
@@ -169,6 +175,10 @@
     void record_evacuation(const std::string& domain, bool begins);
     /// Records that `replica` drains from now on.
     void record_drain(const std::string& replica);
+    /// \returns The least size of the answer to a request for `target`.
+    [[nodiscard]] static std::size_t answer_bytes(const std::string& target);
+    /// Records the largest resident size that a process has had.
+    void record_memory(int instance, std::size_t peak_mb);
     /// Records that a process ended without a signal.
     void record_own_end(int instance);
     /// Records that the fleet must have recovered by now, until `until`.
@@ -178,6 +188,8 @@
 
     /// \returns One line for each violated guarantee.
     [[nodiscard]] std::vector<std::string> find_violations() const;
+    /// \returns The largest resident size of all processes, in MB.
+    [[nodiscard]] std::size_t peak_memory_mb() const;
     /// \returns The number of attempts sent at or after `from` that got status
     /// 200, and the number of all attempts sent since then.
     [[nodiscard]] std::pair<std::size_t, std::size_t>
@@ -225,6 +237,8 @@
     void check_cuts(std::vector<std::string>& violations) const;
 
     void check_recoveries(std::vector<std::string>& violations) const;
+    void check_memory(std::vector<std::string>& violations) const;
+    void check_late_readers(std::vector<std::string>& violations) const;
 
     std::uint32_t shards_;
     mutable std::mutex mutex_;
@@ -240,6 +254,7 @@
         evacuations_;
     std::vector<std::pair<steady::time_point, steady::time_point>> recoveries_;
     std::vector<int> own_ends_;
+    std::map<int, std::size_t> peak_mb_; ///< By instance.
     std::map<std::string, steady::time_point> crash_times_;
     std::map<std::string, steady::time_point> drain_times_;
     std::map<std::string, steady::time_point> publication_times_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -21,7 +21,8 @@
 constexpr const char* usage =
     "usage: peridotward-soak --program FILE [--seeds A-B] [--seconds N]\n"
     "           [--instances N] [--callers N] [--parallel N] [--folder DIR]\n"
-    "           [--series base|all] [--shards N] [--pause MS]\n"
+    "           [--series base|all|stress] [--shards N] [--pause MS]\n"
+    "           [--memory MB]\n"
     "\n"
     "Runs gateway processes on loopback addresses, injects faults chosen by "
     "seed and\n"
@@ -50,6 +51,17 @@
     }
 }
 
+soak_series read_series(std::string_view text)
+{
+    if (text == "base")
+        return soak_series::base;
+    if (text == "all")
+        return soak_series::all;
+    if (text == "stress")
+        return soak_series::stress;
+    exit_with_usage();
+}
+
 soak_options parse(int argc, char** argv)
 {
     constexpr option options[] = {
@@ -63,13 +75,15 @@
         {"series", required_argument, nullptr, 'r'},
         {"pause", required_argument, nullptr, 'm'},
         {"shards", required_argument, nullptr, 'n'},
+        {"memory", required_argument, nullptr, 'y'},
         {"help", no_argument, nullptr, 'h'},
         {nullptr, 0, nullptr, 0},
     };
     soak_options parsed;
     int letter = 0;
     while ((letter = getopt_long(
-                argc, argv, "p:s:t:i:c:j:f:r:n:m:h", options, nullptr)) != -1) {
+                argc, argv, "p:s:t:i:c:j:f:r:n:m:y:h", options, nullptr)) !=
+           -1) {
         switch (letter) {
         case 'p':
             parsed.program = optarg;
@@ -95,16 +109,14 @@
         case 'm':
             parsed.pause_ms = std::atoi(optarg);
             break;
+        case 'y':
+            parsed.memory_mb = std::atoi(optarg);
+            break;
         case 'n':
             parsed.shards = std::atoi(optarg);
             break;
         case 'r':
-            if (optarg != std::string_view{"base"} &&
-                optarg != std::string_view{"all"})
-                exit_with_usage();
-            parsed.series = optarg == std::string_view{"base"}
-                                ? soak_series::base
-                                : soak_series::all;
+            parsed.series = read_series(optarg);
             break;
         case 'h':
             std::cout << usage;
@@ -116,7 +128,8 @@
     const bool valid = !parsed.program.empty() && parsed.seconds > 0 &&
                        parsed.instances > 1 && parsed.callers > 0 &&
                        parsed.shards > 0 && parsed.pause_ms > 0 &&
-                       parsed.parallel > 0 && parsed.parallel <= max_parallel;
+                       parsed.memory_mb >= 0 && parsed.parallel > 0 &&
+                       parsed.parallel <= max_parallel;
     if (!valid)
         exit_with_usage();
     return parsed;
@@ -139,8 +152,9 @@
                 const std::lock_guard lock{output_mutex};
                 std::cout << "seed " << result.seed << ": " << result.attempts
                           << " requests, " << result.extra_attempts
-                          << " repeats, " << result.violations.size()
-                          << " broken (" << result.faults << ")" << std::endl;
+                          << " repeats, " << result.peak_memory_mb << " MB, "
+                          << result.violations.size() << " broken ("
+                          << result.faults << ")" << std::endl;
                 std::map<std::string, int> kinds;
                 for (const auto& violation : result.violations)
                     ++kinds[violation.substr(
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -1,4 +1,5 @@
 #include "early_callers.hpp"
+#include "late_readers.hpp"
 #include "late_requests.hpp"
 #include "soak_environment.hpp"
 
@@ -72,7 +73,8 @@
       replicas_{context_, checker_, store_, seed}
 {
     store_.mirror_to(
-        second_store_, plays_power_loss() ? same_record : with_second_link);
+        second_store_,
+        reaches_replicas_directly() ? same_record : with_second_link);
     for (int i = 0; i < options.instances; ++i) {
         const bool second = uses_second_links(i);
         store_links_.push_back(std::make_unique<proxy>(
@@ -86,7 +88,7 @@
         add_service("s" + std::to_string(s), replicas_per_service);
     add_service("desk", replicas_per_service);
     add_service(brittle_service, brittle_replicas);
-    if (options.series == soak_series::all)
+    if (options.series != soak_series::base)
         add_service(slow_service, slow_replicas, slow_slots);
     if (plays_hostile_parts()) {
         replicas_.late_copy_share = late_copy_share;
@@ -108,7 +110,7 @@
         replica.domain = "d" + std::to_string(copy % replicas_per_service);
         replica.link = number;
         replica.slots = slots;
-        if (options_->series == soak_series::all)
+        if (options_->series != soak_series::base)
             replica.max_connections =
                 static_cast<std::uint32_t>(max_connections(name));
         replica.has_fault = name == brittle_service;
@@ -116,7 +118,8 @@
         replica.port = static_cast<std::uint16_t>(first_replica_port + number);
         const auto link_port =
             static_cast<std::uint16_t>(first_proxy_port + number);
-        replica.published_port = plays_power_loss() ? replica.port : link_port;
+        replica.published_port =
+            reaches_replicas_directly() ? replica.port : link_port;
         replica_links_.push_back(std::make_unique<proxy>(
             context_, replica.host, link_port, replica.port));
         second_replica_links_.push_back(std::make_unique<proxy>(
@@ -146,7 +149,7 @@
     }
     services.push_back(service("desk"));
     services.push_back(service(brittle_service));
-    if (options_->series == soak_series::all)
+    if (options_->series != soak_series::base)
         services.push_back(service(slow_service));
     const auto route = [](const std::string& prefix, const char* kind) {
         return json{
@@ -170,7 +173,7 @@
     auto brittle = route(invariant_checker::brittle_path, "safe");
     brittle["service"] = brittle_service;
     routes.push_back(brittle);
-    if (options_->series == soak_series::all) {
+    if (options_->series != soak_series::base) {
         for (const auto* path :
              {late_requests::safe_path, late_requests::once_path}) {
             auto late = route(
@@ -180,6 +183,12 @@
             routes.push_back(late);
         }
     }
+    if (plays_stress()) {
+        auto huge = route(std::string{huge_path}, "safe");
+        huge["service"] = slow_service;
+        huge["timeoutMs"] = late_readers::deadline.count();
+        routes.push_back(huge);
+    }
     auto paths = added_paths_;
     paths.push_back("/read/");
     if (plays_hostile_parts())
@@ -204,12 +213,17 @@
     const auto folder = options_->folder + "/" + std::to_string(seed);
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
-    fleet gateways{options_->program, folder, addresses_, options_->instances};
+    fleet gateways{
+        options_->program,
+        folder,
+        addresses_,
+        options_->instances,
+        static_cast<std::size_t>(options_->memory_mb)};
     fleet_ = &gateways;
     checker_.record_disturbance(
         {all_instances, steady::now(), steady::now() + startup_time});
     std::this_thread::sleep_for(startup_time);
-    const bool all = options_->series == soak_series::all;
+    const bool all = options_->series != soak_series::base;
     callers caller_threads{
         checker_,
         gateways,
@@ -221,6 +235,8 @@
         gateways,
         plays_hostile_parts() ? early_caller_count : 0,
         seed * 1000 + 500};
+    late_readers late_threads{
+        checker_, gateways, plays_late_readers() ? 1 : 0, seed * 1000 + 700};
     const auto until = steady::now() + std::chrono::seconds{options_->seconds};
     // The series of faults run at the same time.
     std::vector<std::thread> series;
@@ -235,11 +251,12 @@
     std::atomic<bool> faults_ended = false;
     std::thread watcher{[&] {
         while (!faults_ended) {
-            for (const auto& ended : gateways.restart_ended()) {
-                if (ended.by_itself)
-                    checker_.record_own_end(ended.instance);
+            for (int i = 0; i < gateways.size(); ++i)
+                checker_.record_memory(i, gateways.peak_memory_mb(i));
+            for (const int ended : gateways.restart_ended()) {
+                checker_.record_own_end(ended);
                 checker_.record_disturbance(
-                    {ended.instance,
+                    {ended,
                      steady::now(),
                      steady::now() + startup_time,
                      disturbance_kind::restarted});
@@ -252,6 +269,7 @@
     faults_ended = true;
     watcher.join();
     early_threads.stop();
+    late_threads.stop();
     std::this_thread::sleep_for(invariant_checker::settle_time);
     const auto settled = steady::now();
     std::this_thread::sleep_for(invariant_checker::checked_time);
@@ -260,6 +278,7 @@
     result.seed = seed;
     result.attempts = checker_.attempts();
     result.extra_attempts = checker_.extra_attempts();
+    result.peak_memory_mb = checker_.peak_memory_mb();
     result.faults = injected_faults_;
     result.violations = checker_.find_violations();
     const auto [served, attempted] = checker_.count_served_since(settled);
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -60,8 +60,23 @@
     {
         return instance % 2 == 1;
     }
-    /// \returns Whether the run plays the ends of all processes: its instances
-    /// reach the replicas without proxies, which would limit the load.
+    [[nodiscard]] bool plays_stress() const noexcept
+    {
+        return options_->series == soak_series::stress;
+    }
+    /// \returns Whether the run plays callers of large answers that read late,
+    /// in place of outages of the replicas.
+    [[nodiscard]] bool plays_late_readers() const noexcept
+    {
+        return plays_stress() && seed_ % 2 == 1;
+    }
+    /// \returns Whether instances reach the replicas without proxies, which
+    /// would limit the load.
+    [[nodiscard]] bool reaches_replicas_directly() const noexcept
+    {
+        return plays_power_loss() || plays_late_readers();
+    }
+    /// \returns Whether the run plays the ends of all processes.
     [[nodiscard]] bool plays_power_loss() const noexcept
     {
         return options_->series == soak_series::all && seed_ % profiles == 1;
@@ -70,7 +85,8 @@
     /// answers and early callers.
     [[nodiscard]] bool plays_hostile_parts() const noexcept
     {
-        return options_->series == soak_series::all && seed_ % profiles == 2;
+        return plays_stress() ||
+               (options_->series == soak_series::all && seed_ % profiles == 2);
     }
     /// \returns The limit of the connections to one replica of `service`.
     [[nodiscard]] static int max_connections(const std::string& service)
@@ -130,8 +146,10 @@
     [[nodiscard]] std::vector<fault_kind> cut_faults();
     [[nodiscard]] std::vector<fault_kind> stop_faults();
     [[nodiscard]] std::vector<fault_kind> entry_faults();
+    [[nodiscard]] std::vector<fault_kind> message_faults();
     /// \returns The faults of each series, which run at the same time.
     [[nodiscard]] std::vector<std::vector<fault_kind>> series_of_run();
+    [[nodiscard]] std::vector<std::vector<fault_kind>> stress_series();
     void
     inject_fault(const std::vector<fault_kind>& kinds, random_source& random);
     void inject_faults(
@@ -162,6 +180,12 @@
     void restart_replicas();
     /// Signals the instance, waits for its exit and starts it again.
     void restart_by_signal(int instance, random_source& random);
+    /// Silences all replicas, while requests are open and configurations come.
+    void silence_replicas(random_source& random);
+    /// Writes keys of another program that end like those of live replicas.
+    void write_foreign_keys(random_source& random);
+    /// Lets a replica, or all of its service, answer with bytes without end.
+    void send_endless_answers(random_source& random);
     void evacuate(random_source& random);
     void replace_replica(random_source& random);
     void change_config(random_source& random);
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -155,6 +155,7 @@
     checker_->record_execution(
         {id, replica->service, replica->id, replica->domain, steady::now()});
     wire_fault fault;
+    fault.endless = replica->endless;
     const double draw = random_.unit();
     if (draw < replica->break_share) {
         fault.reset = random_.below(2) == 0;
@@ -187,10 +188,7 @@
     }
     else
         response.body() = invariant_checker::body_of(
-            id,
-            std::string{request.target()}.starts_with(large_path)
-                ? invariant_checker::large_answer_bytes
-                : 0);
+            id, invariant_checker::answer_bytes(std::string{request.target()}));
     response.prepare_payload();
     const auto service_time =
         min_service_time + milliseconds{random_.below(service_time_spread_ms)} +
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -21,6 +21,9 @@
 /// Requests below it get an answer of `large_answer_bytes`.
 inline constexpr std::string_view large_path = "/large/";
 
+/// Requests below it get an answer of `huge_answer_bytes`.
+inline constexpr std::string_view huge_path = "/huge/";
+
 /// The digits that follow in a target are the milliseconds of its work.
 inline constexpr std::string_view work_mark = "work-";
 
@@ -53,6 +56,8 @@
     double rate_limit = 0;
     /// Its entry in the store isn't one of a replica.
     bool foreign = false;
+    /// Answers with bytes without end.
+    testing::endless_bytes endless = testing::endless_bytes::none;
     bool has_fault = false; ///< Another fault must leave the replica alone.
 
     [[nodiscard]] std::string start_name() const
--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds drip_interval{20};
 constexpr std::size_t max_body = 16U << 20U;
+constexpr std::size_t max_endless_piece = 65536;
 
 std::string to_bytes(const standin_response& response)
 {
@@ -22,6 +23,24 @@
     return stream.str();
 }
 
+/// \returns What begins the endless bytes, and what follows without end.
+std::pair<std::string, std::string> bytes_of(endless_bytes kind)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    switch (kind) {
+    case endless_bytes::fields:
+        return {ok, "X-Field: a\r\n"};
+    case endless_bytes::chunks:
+        return {ok + "Transfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n"};
+    case endless_bytes::body:
+        return {ok + "\r\n", "abc"};
+    case endless_bytes::none:
+    case endless_bytes::garbage:
+        break;
+    }
+    return {"", "garbage "};
+}
+
 } // namespace
 
 /// A server connection that serves its requests one after another.
@@ -84,6 +103,14 @@
 
     void answer(standin_response response, wire_fault fault)
     {
+        if (fault.endless != endless_bytes::none) {
+            const auto [begin, rest] = bytes_of(fault.endless);
+            bytes_ = begin + rest;
+            while (endless_piece_.size() < max_endless_piece)
+                endless_piece_ += rest;
+            write_endless();
+            return;
+        }
         if (fault.reset || fault.half_close || fault.hang) {
             apply_silent_fault(fault);
             return;
@@ -156,6 +183,18 @@
             });
     }
 
+    void write_endless()
+    {
+        auto self = shared_from_this();
+        net::async_write(
+            socket_, net::buffer(bytes_), [self](error_code code, std::size_t) {
+                if (code)
+                    return;
+                self->bytes_ = self->endless_piece_;
+                self->write_endless();
+            });
+    }
+
     void drip(std::size_t position)
     {
         if (position >= bytes_.size())
@@ -181,6 +220,7 @@
         parser_;
     standin_response response_;
     std::string bytes_;
+    std::string endless_piece_;
     std::string late_copy_;
     std::array<char, 4096> discarded_{};
     bool keep_alive_ = true;
--- a/tests/standins/http_standin.hpp
+++ b/tests/standins/http_standin.hpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,16 @@
 using standin_request = beast_http::request<beast_http::string_body>;
 using standin_response = beast_http::response<beast_http::string_body>;
 
+/// What a stand-in sends without end, in place of a response.
+enum class endless_bytes : std::uint8_t
+{
+    none,
+    garbage,
+    fields,
+    chunks,
+    body, ///< Without a length.
+};
+
 /// A fault that a stand-in applies to the bytes of a response.
 struct wire_fault
 {
@@ -30,6 +41,7 @@
     bool drip = false;       ///< Send one byte every 20 ms.
     /// Send the response again, before the next one on the connection.
     bool copy_late = false;
+    endless_bytes endless = endless_bytes::none; ///< Until the peer closes.
 };
 
 class connection;
