gateway: a refusal for memory gives the quota back, and takes no turn twice

Change: the service of a request is chosen after the quota is charged, as before; a request refused for memory gets its credit back. instance.memory_mb may have a fraction, and docs/SETTINGS.md has it.

--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -449,14 +449,18 @@
             relay(session, route, times, std::string{*id});
         return;
     }
+    if (authenticated.account != nullptr &&
+        !charge(session, *authenticated.account, waited_since))
+        return;
     auto services = route->shards;
     if (services.empty())
         services.push_back(turns_.next(*route));
-    if (refuse_without_memory(session, route, services))
-        return;
-    if (authenticated.account != nullptr &&
-        !charge(session, *authenticated.account, waited_since))
+    if (refuse_without_memory(session, route, services)) {
+        if (authenticated.account != nullptr)
+            quotas_.refund(
+                authenticated.account->name, loop_->now(), loop_->now());
         return;
+    }
     const boost::intrusive_ptr<forward_operation> operation{
         new forward_operation{
             *this,
--- a/gateway/src/gateway_settings.cpp
+++ b/gateway/src/gateway_settings.cpp
@@ -10,7 +10,7 @@
 
 constexpr double max_cores = 1024;
 constexpr double max_ratio = 100;
-constexpr std::int64_t max_memory_mb = 1U << 20U;
+constexpr double max_memory_mb = 1U << 20U;
 constexpr double max_extra_requests = 1e6;
 
 endpoint read_address(object_reader& from, std::string_view key)
@@ -88,7 +88,7 @@
         1000 * instance.number("cores", 0, max_cores));
     if (instance.has("memory_mb"))
         settings.memory_mb = static_cast<std::uint32_t>(
-            instance.integer("memory_mb", 0, max_memory_mb));
+            instance.number("memory_mb", 0, max_memory_mb));
     instance.finish();
     settings.listen = read_listeners(from.object("listen"));
     settings.seeds = read_seeds(from, "seeds", settings.listen.peers.port);
--- a/gateway/tests/gateway_settings_test.cpp
+++ b/gateway/tests/gateway_settings_test.cpp
@@ -45,6 +45,18 @@
     CHECK(settings.shutdown_grace == seconds{6});
 }
 
+TEST_CASE("settings: half of the memory is for large messages", "[settings]")
+{
+    CHECK(
+        parsed(settings_text()).message_memory() ==
+        memory_budget::default_capacity);
+    auto text = settings_text();
+    text.replace(text.find("\"cores\": 0.25"), 0, "\"memory_mb\": 260.5, ");
+    CHECK(parsed(text).message_memory() == std::size_t{130} << 20U);
+    text.replace(text.find("260.5"), 5, "-1");
+    CHECK_FALSE(parse_gateway_settings(text));
+}
+
 TEST_CASE(
     "settings: quota limits may be absent and are not confused", "[settings]")
 {
--- a/gateway/tests/large_request_test.cpp
+++ b/gateway/tests/large_request_test.cpp
@@ -25,7 +25,10 @@
     }
     void on_caller_disconnect(http_session&) override { ++left; }
     [[nodiscard]] caller_limits limits() const override { return {}; }
-    [[nodiscard]] memory_budget* request_memory() override { return budget.get(); }
+    [[nodiscard]] memory_budget* request_memory() override
+    {
+        return budget.get();
+    }
 
     boost::intrusive_ptr<memory_budget> budget{new memory_budget{capacity}};
     std::vector<boost::intrusive_ptr<http_session>> open;
