--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Installs dependencies, builds and runs all tests. The tests in lines "test: NAME"
-# of KNOWN-RED.txt are run and printed, but do not affect the exit code.
+# of KNOWN-RED.txt are run and printed, but do not affect the exit code. Then runs
+# some of them with sanitizers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -17,3 +18,4 @@
 else
     ctest --preset release
 fi
+tools/sanitize.sh
