--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <string_view>
@@ -14,6 +15,13 @@
 
 namespace peridotward::soak {
 
+namespace {
+
+/// Length to which the kernel cuts the name of a process.
+constexpr std::size_t max_process_name = 15;
+
+} // namespace
+
 fleet::fleet(
     std::string program,
     std::string folder,
@@ -131,6 +139,11 @@
         return 0;
     std::ifstream status{"/proc/" + std::to_string(process) + "/status"};
     std::string line;
+    std::getline(status, line);
+    // Until the program is executed, a new process is a copy of this one.
+    const auto name = std::filesystem::path{program_}.filename().string();
+    if (line != "Name:\t" + name.substr(0, max_process_name))
+        return 0;
     while (std::getline(status, line)) {
         constexpr std::string_view key = "VmHWM:";
         if (line.starts_with(key))
