--- a/review/third/lab.cpp
+++ b/review/third/lab.cpp
@@ -391,8 +391,11 @@
                R"(","revision":)" + std::to_string(revision) +
                R"(,"created":)" + std::to_string(revision) + R"(,"lease":0})";
     };
-    const auto first = json(value);
-    const auto second = second_value.empty() ? first : json(second_value);
+    const auto first = std::make_shared<const std::string>(json(value));
+    const auto second =
+        second_value.empty()
+            ? first
+            : std::make_shared<const std::string>(json(second_value));
     items_[key] = {revision, {first, second}};
     history_.push_back({now_ms(), revision, {first, second}});
     changed_.notify_all();
@@ -405,8 +408,9 @@
     if (items_.erase(key) == 0)
         return;
     const auto revision = ++revision_;
-    const auto json = R"({"key":")" + key + R"(","revision":)" +
-                      std::to_string(revision) + R"(,"removed":true})";
+    const auto json = std::make_shared<const std::string>(
+        R"({"key":")" + key + R"(","revision":)" + std::to_string(revision) +
+        R"(,"removed":true})");
     history_.push_back({now_ms(), revision, {json, json}});
     changed_.notify_all();
 }
@@ -428,7 +432,7 @@
             break;
         }
         items +=
-            (count++ > 0 ? "," : "") + each->second.json[at.second ? 1 : 0];
+            (count++ > 0 ? "," : "") + *each->second.json[at.second ? 1 : 0];
     }
     return R"({"items":[)" + items + R"(],"hasMore":)" +
            (more ? "true" : "false") + R"(,"storeRevision":)" +
@@ -455,7 +459,7 @@
         for (const auto& each : history_) {
             if (each.revision <= after)
                 continue;
-            const auto& json = each.json[at.second ? 1 : 0];
+            const auto& json = *each.json[at.second ? 1 : 0];
             if (json.substr(8, prefix.size()) == prefix)
                 events += (events.empty() ? "" : ",") + json;
         }
@@ -676,7 +680,8 @@
     };
     std::ofstream{settings_}
         << "{\"instance\":{\"id\":\"" << name_ << "\",\"domain\":\"" << zone
-        << "\",\"region\":\"mombasa\",\"memory_mb\":260,\"cores\":0.25},"
+        << "\",\"region\":\"mombasa\",\"memory_mb\":" << memory_mb
+        << ",\"cores\":0.25},"
         << "\"listen\":{\"callers\":" << at(front)
         << ",\"ready\":" << at(ready_port) << ",\"directory\":" << at(directory)
         << ",\"control\":" << at(control) << ",\"metrics\":" << at(7755)
@@ -720,6 +725,17 @@
     pid_ = -1;
 }
 
+std::int64_t gateway::resident_mb() const
+{
+    if (pid_ <= 0)
+        return 0;
+    std::ifstream statistics{"/proc/" + std::to_string(pid_) + "/statm"};
+    std::int64_t total = 0;
+    std::int64_t resident = 0;
+    statistics >> total >> resident;
+    return resident * ::sysconf(_SC_PAGESIZE) >> 20;
+}
+
 bool gateway::running()
 {
     if (pid_ <= 0)
--- a/review/third/lab.hpp
+++ b/review/third/lab.hpp
@@ -141,12 +141,12 @@
     {
         std::int64_t at;
         std::uint64_t revision;
-        std::string json[2];
+        std::shared_ptr<const std::string> json[2];
     };
     struct item
     {
         std::uint64_t revision;
-        std::string json[2];
+        std::shared_ptr<const std::string> json[2];
     };
     struct link
     {
@@ -246,6 +246,8 @@
     void signal(int number);
     /// Kills the process and waits for its end.
     void kill();
+    /// \returns The resident size of the process in MiB; 0 if it doesn't run.
+    [[nodiscard]] std::int64_t resident_mb() const;
     /// \returns Whether the process runs; records an end by itself.
     bool running();
     [[nodiscard]] std::string host() const { return host_; }
@@ -259,6 +261,7 @@
     static constexpr std::uint16_t control = 8224;
     static constexpr std::uint16_t directory = 8225;
     static constexpr int grace_s = 6;
+    static constexpr int memory_mb = 260;
 
     std::vector<std::string> seeds;
     std::string zone = "likoni";
