--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,10 +7,8 @@
 out=out/review-3
 mkdir -p "$out"
 flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
-g++ "${flags[@]}" -c review/third/lab.cpp -o "$out/lab.o"
-for source in review/1[1-5]/case.cpp; do
-    [ -f "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
-    g++ "${flags[@]}" "$source" "$out/lab.o" -o "$out/case-$number" &
+g++ "${flags[@]}" -c review/third/tests/lab.cpp -o "$out/lab.o"
+for source in review/third/tests/case_*.cpp; do
+    number=$(basename "$source" .cpp)
+    g++ "${flags[@]}" "$source" "$out/lab.o" -o "$out/case-${number#case_}"
 done
-wait
--- a/review/11/case.cpp
+++ b/review/third/tests/case_11.cpp
@@ -3,7 +3,7 @@
 // they were not run. Clients follow the promise that these statuses make, and
 // send their non-idempotent requests again.
 
-#include "../third/lab.hpp"
+#include "lab.hpp"
 
 #include <cstdlib>
 
--- a/review/12/case.cpp
+++ b/review/third/tests/case_12.cpp
@@ -2,7 +2,7 @@
 // to another service, whose replicas are registered before. Later the replicas
 // of the old service drain.
 
-#include "../third/lab.hpp"
+#include "lab.hpp"
 
 using namespace lab;
 
--- a/review/13/case.cpp
+++ b/review/third/tests/case_13.cpp
@@ -2,7 +2,7 @@
 // on the platform, a process above its memory limit is killed, and started
 // again after a short delay.
 
-#include "../third/lab.hpp"
+#include "lab.hpp"
 
 using namespace lab;
 
--- a/review/14/case.cpp
+++ b/review/third/tests/case_14.cpp
@@ -2,7 +2,7 @@
 // the others serve its clients. Meanwhile a replica begins to leave, and says
 // so in an answer that the cut-off gateway passes on. The cut ends.
 
-#include "../third/lab.hpp"
+#include "lab.hpp"
 
 using namespace lab;
 
