--- a/review/third/tests/case_12.cpp
+++ b/review/third/tests/case_12.cpp
@@ -160,10 +160,11 @@
 
     sleep_ms(3000);
     if (with_trouble()) {
+        const auto begin = now_ms();
         for (int i = 1; i < storm_changes; ++i) {
             shared.put("op/config", versions[static_cast<std::size_t>(i)]);
             record("version %d is acknowledged", i + 2);
-            sleep_ms(storm_gap_ms);
+            sleep_until_ms(begin + i * storm_gap_ms);
         }
     }
     shared.put("op/config", versions.back());
