--- a/review/third/tests/case_11.cpp
+++ b/review/third/tests/case_11.cpp
@@ -19,16 +19,6 @@
 constexpr int requests_each = 60;
 constexpr std::int64_t deadline_ms = 4000;
 
-const std::string configuration =
-    R"({"version":2,"routes":[{"name":"r-desk","host":"desk.example",)"
-    R"("prefix":"/panel/","kind":"unsafe","timeoutMs":4000,)"
-    R"("targetLatencyMs":600,"priority":2,"service":"desk",)"
-    R"("maxAttempts":2}],"services":[{"name":"desk",)"
-    R"("healthPath":"/healthz","maxConnections":110,"protocol":"h1",)"
-    R"("tls":false,"warmupS":3.0,"warmupPerS":0.0}],"limits":)"
-    R"({"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-
 /// By request id: how often replicas ran it.
 struct run_log
 {
@@ -53,7 +43,7 @@
         shared.add_link(address(0, i), 8229);
         fleet.push_back(std::make_unique<gateway>(network, i, 8229));
     }
-    shared.put("op/config", configuration);
+    shared.put("op/config", desk_configuration("unsafe", deadline_ms));
     std::vector<std::unique_ptr<replica>> replicas;
     std::atomic<int> arrived{0};
     for (int i = 1; i <= replica_count; ++i) {
--- a/review/third/tests/case_13.cpp
+++ b/review/third/tests/case_13.cpp
@@ -18,16 +18,6 @@
 constexpr int ends_of_fault = 3;
 constexpr int machines_of_fault = 2;
 
-const std::string configuration =
-    R"({"version":2,"routes":[{"name":"r-desk","host":"desk.example",)"
-    R"("prefix":"/panel/","kind":"safe","timeoutMs":2000,)"
-    R"("targetLatencyMs":400,"priority":2,"service":"desk",)"
-    R"("maxAttempts":2}],"services":[{"name":"desk",)"
-    R"("healthPath":"/healthz","maxConnections":110,"protocol":"h1",)"
-    R"("tls":false,"warmupS":3.0,"warmupPerS":0.0}],"limits":)"
-    R"({"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-
 } // namespace
 
 int main(int, char** arguments)
@@ -44,7 +34,7 @@
         shared.add_link(address(0, i), 8229);
         fleet.push_back(std::make_unique<gateway>(network, i, 8229));
     }
-    shared.put("op/config", configuration);
+    shared.put("op/config", desk_configuration("safe", 2000));
     std::vector<std::unique_ptr<replica>> replicas;
     for (int i = 1; i <= 3; ++i) {
         replicas.push_back(std::make_unique<replica>(
--- a/review/third/tests/case_14.cpp
+++ b/review/third/tests/case_14.cpp
@@ -21,16 +21,6 @@
 // Precision of the times that this process takes.
 constexpr std::int64_t tolerance_ms = 50;
 
-const std::string configuration =
-    R"({"version":2,"routes":[{"name":"r-desk","host":"desk.example",)"
-    R"("prefix":"/panel/","kind":"safe","timeoutMs":2000,)"
-    R"("targetLatencyMs":400,"priority":2,"service":"desk",)"
-    R"("maxAttempts":2}],"services":[{"name":"desk",)"
-    R"("healthPath":"/healthz","maxConnections":110,"protocol":"h1",)"
-    R"("tls":false,"warmupS":3.0,"warmupPerS":0.0}],"limits":)"
-    R"({"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-
 struct question
 {
     std::string id;
@@ -63,7 +53,7 @@
         shared.add_link(address(0, i), 8229, i == 1);
         fleet.push_back(std::make_unique<gateway>(network, i, 8229));
     }
-    shared.put("op/config", configuration);
+    shared.put("op/config", desk_configuration("safe", 2000));
     std::mutex mutex;
     std::vector<arrival> arrivals; // At the replica that leaves.
     std::vector<std::unique_ptr<replica>> replicas;
--- a/review/third/tests/lab.cpp
+++ b/review/third/tests/lab.cpp
@@ -798,6 +798,19 @@
     return text;
 }
 
+std::string desk_configuration(const std::string& kind, std::int64_t timeout_ms)
+{
+    return R"({"version":2,"routes":[{"name":"r-desk","host":"desk.example",)"
+           R"("prefix":"/panel/","kind":")" +
+           kind + R"(","timeoutMs":)" + std::to_string(timeout_ms) +
+           R"(,"targetLatencyMs":400,"priority":2,"service":"desk",)"
+           R"("maxAttempts":2}],"services":[{"name":"desk",)"
+           R"("healthPath":"/healthz","maxConnections":110,"protocol":"h1",)"
+           R"("tls":false,"warmupS":3.0,"warmupPerS":0.0}],"limits":)"
+           R"({"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+           R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+}
+
 std::string request_text(
     const std::string& method,
     const std::string& target,
--- a/review/third/tests/lab.hpp
+++ b/review/third/tests/lab.hpp
@@ -283,6 +283,11 @@
 
 std::string new_id();
 
+/// \returns A configuration, version 2, with one route for host `desk.example`
+/// below `/panel/`, which the service `desk` serves.
+std::string
+desk_configuration(const std::string& kind, std::int64_t timeout_ms);
+
 /// \returns A request of a client.
 std::string request_text(
     const std::string& method,
