gateway: a status promises only what is known of each attempt

Cause: forward_operation passed on any signed failure, whatever its status promises. The record of the case shows that each wrong answer has the status that the replica gave on the request's only attempt, so it isn't an own 503 of the gateway beside an open attempt.

Change: choose_reply, a pure function, decides what the caller of a failed request is told from what is known of all attempts, the last answer and its sender. forwarded_request keeps what is known of each attempt, and relay_operation what is known from before the relay: a request that was sent before its instance was cut off is no longer answered 503 when no instance takes it, and a replica's 503 that an older build has passed on isn't relayed. withheld_answers_total counts such answers.

--- a/core/include/peridotward/core/gather/forwarded_request.hpp
+++ b/core/include/peridotward/core/gather/forwarded_request.hpp
@@ -3,6 +3,7 @@
 #include <peridotward/base/names.hpp>
 #include <peridotward/core/admission/load_shedders.hpp>
 #include <peridotward/core/budgets/retry_budgets.hpp>
+#include <peridotward/core/gather/caller_answer.hpp>
 #include <peridotward/core/gather/latency_profile.hpp>
 #include <peridotward/core/gather/request_deadlines.hpp>
 #include <peridotward/core/placement/replica_selector.hpp>
@@ -157,7 +158,7 @@
     /// instance; from then on the replica may run it.
     void on_written(std::uint32_t attempt) noexcept
     {
-        attempts_[attempt].written = true;
+        attempts_[attempt].execution = attempt_execution::may_still_run;
     }
 
     /// \brief Handles the result of an attempt.
@@ -249,12 +250,12 @@
     {
         return std::any_of(
             attempts_.begin(), attempts_.end(), [](const auto& each) {
-                return each.written;
+                return each.execution != attempt_execution::not_sent;
             });
     }
 
-    /// \returns Whether a replica may have run any part.
-    [[nodiscard]] bool may_have_run() const noexcept { return may_have_run_; }
+    /// \returns What is known of the attempt of which the least is excluded.
+    [[nodiscard]] attempt_execution execution() const noexcept;
 
     /// \returns Whether the attempt has no result yet.
     [[nodiscard]] bool open(std::uint32_t attempt) const noexcept
@@ -284,7 +285,7 @@
         time_point sent_at;
         bool extra = false; ///< Counted as a hedge or retry.
         bool open = true;
-        bool written = false; ///< The replica may have got bytes of it.
+        attempt_execution execution = attempt_execution::not_sent;
     };
     struct part_state
     {
@@ -359,10 +360,9 @@
     /// \brief Ends the request and discards the sends in `out`.
     void finish(
         forward_end end, const forward_context& context, forward_actions& out);
-    /// \returns `not_run` if no replica ran or may still run any part,
-    /// otherwise `otherwise`. The owner must then withdraw the open attempts.
-    [[nodiscard]] forward_end
-    failure_kind(forward_end otherwise) const noexcept;
+    /// \returns `not_run` if no replica ran or may still run any part; the
+    /// owner must then withdraw the open attempts.
+    [[nodiscard]] forward_end failure_kind(bool deadline_passed) const noexcept;
     /// \returns The index of the account, or nothing without an account.
     [[nodiscard]] std::optional<account_index>
     account_index_in_config() const noexcept;
--- a/core/src/gather/forwarded_request.cpp
+++ b/core/src/gather/forwarded_request.cpp
@@ -21,6 +21,24 @@
 /// Tolerance for rounding errors in the fraction of shards.
 constexpr double share_tolerance = 1e-9;
 
+attempt_execution execution_after(forward_outcome outcome) noexcept
+{
+    switch (outcome) {
+    case forward_outcome::answered:
+    case forward_outcome::failed:
+    case forward_outcome::broken:
+    case forward_outcome::interrupted:
+        break;
+    case forward_outcome::refused:
+    case forward_outcome::misdirected:
+        return attempt_execution::refused;
+    case forward_outcome::unreachable:
+    case forward_outcome::unsent:
+        return attempt_execution::not_sent;
+    }
+    return attempt_execution::may_have_run;
+}
+
 } // namespace
 
 forwarded_request::forwarded_request(
@@ -56,16 +74,27 @@
     return given_up_ == part_count() || given_up_ > spare_parts();
 }
 
-forward_end
-forwarded_request::failure_kind(forward_end otherwise) const noexcept
+attempt_execution forwarded_request::execution() const noexcept
 {
-    // A replica may still run an open attempt that was written.
-    const bool may_run =
-        may_have_run_ ||
-        std::any_of(attempts_.begin(), attempts_.end(), [](const auto& sent) {
-            return sent.open && sent.written;
-        });
-    return may_run ? otherwise : forward_end::not_run;
+    auto least_excluded = attempt_execution::not_sent;
+    for (const auto& attempt : attempts_)
+        least_excluded = std::max(least_excluded, attempt.execution);
+    return least_excluded;
+}
+
+forward_end forwarded_request::failure_kind(bool deadline_passed) const noexcept
+{
+    switch (choose_reply(
+        {execution(), route_->scatters(), deadline_passed, std::nullopt})) {
+    case failure_reply::not_run:
+        return forward_end::not_run;
+    case failure_reply::timed_out:
+        return forward_end::timed_out;
+    case failure_reply::forwarded:
+    case failure_reply::failed:
+        break;
+    }
+    return forward_end::failed;
 }
 
 time_point forwarded_request::earliest_retry(
@@ -362,6 +391,7 @@
     if (!ended.open)
         return false;
     ended.open = false;
+    ended.execution = execution_after(outcome);
     auto& part = parts_[ended.part];
     --part.open;
     auto& health = context.catalog->at(ended.to).health;
@@ -469,11 +499,11 @@
     if (answered_ == parts_.size())
         finish(forward_end::complete, context, out);
     else if (has_failed())
-        finish(failure_kind(forward_end::failed), context, out);
+        finish(failure_kind(false), context, out);
     else if (is_partial_due(now))
         finish(forward_end::partial, context, out);
     else if (now >= times_.answer_deadline)
-        finish(failure_kind(forward_end::timed_out), context, out);
+        finish(failure_kind(true), context, out);
     full_value_passed_ = full_value_passed_ || now >= times_.full_value_until;
     late_deadline_passed_ = now >= late_deadline();
 }
--- a/core/tests/forwarded_request_test.cpp
+++ b/core/tests/forwarded_request_test.cpp
@@ -735,3 +735,59 @@
         request, 0, forward_outcome::failed, start + milliseconds{85});
     CHECK(fixture.out.end == forward_end::failed);
 }
+
+TEST_CASE(
+    "forwarding: what is known of an attempt follows from its result",
+    "[forwarding]")
+{
+    struct example
+    {
+        forward_outcome outcome;
+        bool written;
+        attempt_execution expected;
+    };
+    for (const auto& [outcome, written, expected] : {
+             example{
+                 forward_outcome::failed,
+                 true,
+                 attempt_execution::may_have_run},
+             {forward_outcome::broken, true, attempt_execution::may_have_run},
+             {forward_outcome::interrupted,
+              true,
+              attempt_execution::may_have_run},
+             {forward_outcome::refused, true, attempt_execution::refused},
+             {forward_outcome::misdirected, true, attempt_execution::refused},
+             {forward_outcome::unreachable, false, attempt_execution::not_sent},
+             {forward_outcome::unsent, false, attempt_execution::not_sent},
+         }) {
+        INFO(name_of(outcome));
+        forward_fixture fixture{1, 1, idempotent(1)};
+        auto request = fixture.make_request();
+        request.begin(fixture.context(), fixture.profile, start, fixture.out);
+        CHECK(request.execution() == attempt_execution::not_sent);
+        if (written) {
+            request.on_written(0);
+            CHECK(request.execution() == attempt_execution::may_still_run);
+        }
+        fixture.result(request, 0, outcome, start + milliseconds{2});
+        CHECK(name_of(request.execution()) == name_of(expected));
+        REQUIRE(fixture.out.end);
+        CHECK(
+            (*fixture.out.end == forward_end::not_run) ==
+            surely_not_run(expected));
+    }
+}
+
+// Guards against a hedge that is open while the other attempt is refused, and a
+// caller that is told that nothing will run.
+TEST_CASE(
+    "forwarding: an aborted attempt that was written may still run",
+    "[forwarding]")
+{
+    forward_fixture fixture{3, 2, idempotent(2)};
+    auto request = fixture.make_request();
+    request.begin(fixture.context(), fixture.profile, start, fixture.out);
+    request.on_written(1);
+    request.abandon();
+    CHECK(request.execution() == attempt_execution::may_still_run);
+}
--- a/gateway/include/peridotward/gateway/forwarder.hpp
+++ b/gateway/include/peridotward/gateway/forwarder.hpp
@@ -214,11 +214,16 @@
     void check_upstream_contact(time_point now);
     void probe_upstreams(time_point now);
     /// \brief Lets another instance serve a request.
+    /// \param execution What is known of the attempts that this instance made.
     void relay(
         http_session& session,
         const pinned_route& route,
         const forward_times& times,
-        const std::string& request_id);
+        const std::string& request_id,
+        attempt_execution execution);
+    /// \brief Counts an answer that isn't passed on since it promises that the
+    /// request has not run.
+    void count_withheld(const attempt_answer& answer);
     /// \brief Refuses a request that this instance can't serve now, so that an
     /// instance that relayed it may ask another one.
     /// \param relayed Value of the field `relayed` in the answer.
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -193,18 +193,27 @@
         store_part(attempt, *answer);
         withdraw_unneeded();
     }
-    else if (
-        outcome == forward_outcome::failed && answer != nullptr &&
-        answer->fields.find(owner_->names_->signature) &&
-        (answer->status < 200 || answer->status >= 300)) {
-        failure_.received = true;
-        failure_.head = forwarded_answer_head(*answer, *owner_->names_);
-        failure_.body = std::move(answer->body);
-        hold_memory(*answer);
-    }
+    else if (outcome == forward_outcome::failed && answer != nullptr)
+        store_failure(*answer);
     execute_actions();
 }
 
+void forward_operation::store_failure(response_message& answer)
+{
+    const auto facts =
+        describe_answer(answer, *owner_->names_, attempt_receiver::replica);
+    const auto reply = choose_reply(
+        {request_.execution(), request_.route()->scatters(), false, facts});
+    if (reply != failure_reply::forwarded) {
+        owner_->count_withheld(facts);
+        return;
+    }
+    failure_.facts = facts;
+    failure_.head = forwarded_answer_head(answer, *owner_->names_);
+    failure_.body = std::move(answer.body);
+    hold_memory(answer);
+}
+
 void forward_operation::store_part(
     std::uint32_t attempt, response_message& answer)
 {
@@ -330,25 +339,25 @@
 
 void forward_operation::answer_failure(http_session& session, forward_end end)
 {
-    const bool forward_failure =
-        failure_.received && !request_.route()->scatters();
-    if (forward_failure) {
+    const auto reply = choose_reply(
+        {request_.execution(),
+         request_.route()->scatters(),
+         end == forward_end::timed_out,
+         failure_.facts});
+    if (reply == failure_reply::forwarded) {
         session.respond(
             failure_.head, std::move(failure_.body), std::move(memory_));
         return;
     }
-    const std::uint32_t status = end == forward_end::not_run     ? 503
-                                 : end == forward_end::timed_out ? 504
-                                                                 : 502;
     // The instance that relayed the request may ask another one.
-    if (end == forward_end::not_run && !request_.shed() &&
+    if (reply == failure_reply::not_run && !request_.shed() &&
         session.request().fields.find(owner_->names_->relayed)) {
         owner_->refuse_unreachable(
             session, name_of(end), forwarder::relayed_not_run);
         return;
     }
     milliseconds retry_after{};
-    if (end == forward_end::not_run) {
+    if (reply == failure_reply::not_run) {
         const auto now = owner_->loop_->now();
         retry_after = owner_->retry_schedule_of(request_).reserve(
             request_.priority(),
@@ -360,7 +369,7 @@
             "shed_requests_total{route=\"" + request_.route()->name + "\"}");
     owner_->refuse(
         session,
-        status,
+        status_of(reply),
         request_.shed() ? forwarder::overloaded : name_of(end),
         retry_after);
 }
@@ -439,7 +448,12 @@
     // The other instance charges the request again.
     refund();
     abandon();
-    owner_->relay(*session, request_.route(), request_.times(), request_id_);
+    owner_->relay(
+        *session,
+        request_.route(),
+        request_.times(),
+        request_id_,
+        request_.execution());
 }
 
 void forward_operation::on_config_changed()
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -40,7 +40,8 @@
 private:
     struct failed_answer
     {
-        bool received = false;
+        /// Set if an answer was kept.
+        std::optional<attempt_answer> facts;
         std::string head; ///< Status line and header fields.
         std::string body;
     };
@@ -64,6 +65,8 @@
     /// \brief Ends all attempts without an answer to the caller.
     void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
+    /// \brief Keeps a failure for the caller if it can be passed on.
+    void store_failure(response_message& answer);
     /// \brief Keeps what an answer whose body is kept has claimed.
     void hold_memory(response_message& answer);
     void finish(forward_end end);
--- a/gateway/src/forwarded_fields.cpp
+++ b/gateway/src/forwarded_fields.cpp
@@ -87,6 +87,18 @@
     return head;
 }
 
+attempt_answer describe_answer(
+    const response_message& answer,
+    const header_names& names,
+    attempt_receiver from)
+{
+    return {
+        from,
+        answer.status,
+        answer.fields.find(names.signature).has_value(),
+        answer.fields.find(names.not_run).has_value()};
+}
+
 std::string
 forwarded_answer_head(const response_message& answer, const header_names& names)
 {
--- a/gateway/src/forwarded_fields.hpp
+++ b/gateway/src/forwarded_fields.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/gather/caller_answer.hpp>
 #include <peridotward/core/routing/forward_config.hpp>
 #include <peridotward/gateway/header_names.hpp>
 #include <peridotward/gateway/http_reader.hpp>
@@ -37,6 +38,12 @@
     const header_names& names,
     const forwarded_account& account);
 
+/// \returns What a final answer tells of the attempt that it belongs to.
+[[nodiscard]] attempt_answer describe_answer(
+    const response_message& answer,
+    const header_names& names,
+    attempt_receiver from);
+
 /// \returns The status line and the fields of an answer that are forwarded to
 /// the caller.
 [[nodiscard]] std::string
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -259,6 +259,14 @@
     return retry_schedules_[request.service(0).name];
 }
 
+void forwarder::count_withheld(const attempt_answer& answer)
+{
+    if (promises_not_run(answer.status))
+        stats_->count(
+            "withheld_answers_total{status=\"" + std::to_string(answer.status) +
+            "\"}");
+}
+
 void forwarder::refuse(
     http_session& session,
     std::uint32_t status,
@@ -446,7 +454,12 @@
         if (request.fields.find(names_->relayed))
             refuse_unreachable(session, no_upstream, relayed_cut_off);
         else
-            relay(session, route, times, std::string{*id});
+            relay(
+                session,
+                route,
+                times,
+                std::string{*id},
+                attempt_execution::not_sent);
         return;
     }
     if (authenticated.account != nullptr &&
--- a/gateway/src/forwarder_protection.cpp
+++ b/gateway/src/forwarder_protection.cpp
@@ -148,10 +148,11 @@
     http_session& session,
     const pinned_route& route,
     const forward_times& times,
-    const std::string& request_id)
+    const std::string& request_id,
+    attempt_execution execution)
 {
-    const boost::intrusive_ptr<relay_operation> operation{
-        new relay_operation{*this, session, route, times, request_id}};
+    const boost::intrusive_ptr<relay_operation> operation{new relay_operation{
+        *this, session, route, times, request_id, execution}};
     session.state = operation;
     operation->begin();
 }
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -27,7 +27,8 @@
     http_session& session,
     pinned_route route,
     const forward_times& times,
-    std::string request_id)
+    std::string request_id,
+    attempt_execution execution)
     : owner_{&owner},
       session_{session},
       route_{std::move(route)},
@@ -45,6 +46,7 @@
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
+      execution_{execution},
       memory_{*owner.memory_, answer_, [this] { update_events(); }},
       timer_{[this] { on_timeout(); }}
 {
@@ -90,11 +92,14 @@
         return;
     }
     owner_->replaced_ = false;
-    if (const auto session = std::exchange(session_, {})) {
-        owner_->refuse_unreachable(
-            *session, forwarder::no_upstream, forwarder::relayed_cut_off);
-    }
-    end(service_unavailable);
+    refuse(reply_to(false, std::nullopt), forwarder::no_upstream);
+}
+
+failure_reply relay_operation::reply_to(
+    bool deadline_passed, const std::optional<attempt_answer>& answer) const
+{
+    return choose_reply(
+        {execution_, route_->scatters(), deadline_passed, answer});
 }
 
 void relay_operation::end_target(relay_result result)
@@ -110,9 +115,10 @@
     self_.reset();
 }
 
-void relay_operation::skip_target(relay_result result)
+void relay_operation::skip_target(relay_result result, attempt_execution known)
 {
     const boost::intrusive_ptr<relay_operation> guard{this};
+    execution_ = std::max(execution_, known);
     end_target(result);
     try_next();
 }
@@ -146,7 +152,7 @@
     const boost::intrusive_ptr<relay_operation> guard{this};
     if (!connected_) {
         if ((events & (EPOLLERR | EPOLLHUP)) != 0) {
-            skip_target(relay_result::failed);
+            skip_target(relay_result::failed, attempt_execution::not_sent);
             return;
         }
         connected_ = true;
@@ -173,8 +179,7 @@
         if (sent < 0 && errno == EAGAIN)
             break;
         if (sent < 0) {
-            end_target(relay_result::failed);
-            fail(502, "the relayed request was interrupted");
+            fail(false);
             return;
         }
         written_ += static_cast<std::size_t>(sent);
@@ -225,8 +230,7 @@
         on_answer();
         return;
     }
-    end_target(relay_result::failed);
-    fail(502, "the relayed request was interrupted");
+    fail(false);
 }
 
 void relay_operation::on_answer()
@@ -236,12 +240,21 @@
         skip_target(
             *relayed == forwarder::relayed_declined  ? relay_result::declined
             : *relayed == forwarder::relayed_not_run ? relay_result::not_run
-                                                     : relay_result::cut_off);
+                                                     : relay_result::cut_off,
+            attempt_execution::refused);
         return;
     }
     end_target(relay_result::served);
     owner_->replaced_ = owner_->pool_.contact().lost();
     memory_.on_complete();
+    const auto facts =
+        describe_answer(answer_, *owner_->names_, attempt_receiver::instance);
+    const auto reply = reply_to(false, facts);
+    if (reply != failure_reply::forwarded) {
+        owner_->count_withheld(facts);
+        refuse(reply, "the relayed request may have run");
+        return;
+    }
     if (const auto session = std::exchange(session_, {}))
         session->respond(
             forwarded_answer_head(answer_, *owner_->names_),
@@ -254,17 +267,33 @@
 {
     const boost::intrusive_ptr<relay_operation> guard{this};
     if (!connected_ && owner_->loop_->now() < times_.answer_deadline) {
-        skip_target(relay_result::failed);
+        skip_target(relay_result::failed, attempt_execution::not_sent);
         return;
     }
+    fail(true);
+}
+
+void relay_operation::fail(bool deadline_passed)
+{
     end_target(relay_result::failed);
-    fail(504, "the relayed request timed out");
+    if (connected_ && written_ > 0)
+        execution_ = std::max(execution_, attempt_execution::may_have_run);
+    refuse(
+        reply_to(deadline_passed, std::nullopt),
+        deadline_passed ? "the relayed request timed out"
+                        : "the relayed request was interrupted");
 }
 
-void relay_operation::fail(std::uint32_t status, std::string_view reason)
+void relay_operation::refuse(failure_reply reply, std::string_view reason)
 {
-    if (const auto session = std::exchange(session_, {}))
-        owner_->refuse(*session, status, reason);
+    const auto status = status_of(reply);
+    if (const auto session = std::exchange(session_, {})) {
+        if (reply == failure_reply::not_run)
+            owner_->refuse_unreachable(
+                *session, reason, forwarder::relayed_cut_off);
+        else
+            owner_->refuse(*session, status, reason);
+    }
     end(status);
 }
 
--- a/gateway/src/relay_operation.hpp
+++ b/gateway/src/relay_operation.hpp
@@ -29,7 +29,8 @@
         http_session& session,
         pinned_route route,
         const forward_times& times,
-        std::string request_id);
+        std::string request_id,
+        attempt_execution execution);
     ~relay_operation() override;
 
     void begin();
@@ -46,7 +47,8 @@
     void on_timeout();
     void try_next();
     /// \brief Leaves the present target, which did not run the request.
-    void skip_target(relay_result result);
+    /// \param known What is known of that attempt.
+    void skip_target(relay_result result, attempt_execution known);
     void send();
     void receive();
     void on_answer();
@@ -54,7 +56,13 @@
     void update_events();
     /// \brief Closes the connection to the present target.
     void end_target(relay_result result);
-    void fail(std::uint32_t status, std::string_view reason);
+    /// \brief Ends the request when the present target gave no answer.
+    void fail(bool deadline_passed);
+    /// \brief Ends the request with a status of this instance.
+    void refuse(failure_reply reply, std::string_view reason);
+    [[nodiscard]] failure_reply reply_to(
+        bool deadline_passed,
+        const std::optional<attempt_answer>& answer) const;
     void end(std::uint32_t status);
     [[nodiscard]] std::string serialize() const;
 
@@ -70,6 +78,8 @@
     std::string body_;
     bool has_length_;
     bool bodiless_;
+    /// Of the attempts that have ended, also before the request was relayed.
+    attempt_execution execution_;
     std::vector<std::string> tried_; ///< The last one is the present target.
     unique_socket socket_;
     /// Keeps this object while the reactor refers to it.
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -1,3 +1,5 @@
+#include "forwarded_fields.hpp"
+
 #include <peridotward/base/hash.hpp>
 #include <peridotward/gateway/load_field.hpp>
 #include <peridotward/gateway/retry_after.hpp>
@@ -395,14 +397,14 @@
 {
     if (answer_.status == misdirected_request)
         return forward_outcome::misdirected;
-    if (answer_.fields.find(pool_->names().not_run))
+    const auto facts =
+        describe_answer(answer_, pool_->names(), attempt_receiver::replica);
+    if (surely_not_run(execution_of(facts)))
         return forward_outcome::refused;
     const bool success = answer_.status >= 200 && answer_.status < 300;
-    const bool signed_answer =
-        answer_.fields.find(pool_->names().signature).has_value();
     const bool content_encoded =
         answer_.fields.find("Content-Encoding").has_value();
-    return success && signed_answer && !content_encoded
+    return success && facts.signed_by_replica && !content_encoded
                ? forward_outcome::answered
                : forward_outcome::failed;
 }
