http: an answer has a final status, interim ones are skipped

A whole 200 after "100 Continue" was lost and answered 502; "000" without fields before a 200 held the request until its deadline, with 504.

Cause: the parser takes any three digits, and each reader took the first head for the answer.

Change: response_reader, by which the gateway reads replicas, relayed answers, the store and other instances' changes, skips interim answers, limits them like a head, and rejects 101 and all statuses outside 200 to 599. http_client checks what libcurl reports, and drops the fields of interim answers, which were read before those of the final one.

--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -139,21 +139,14 @@
     message_size size_;
 };
 
-/// \brief Incremental parser of one answer.
-class response_reader final : public boost::beast::http::basic_parser<false>
+/// \brief Incremental parser of one head of an answer and the body after it.
+class response_parser final : public boost::beast::http::basic_parser<false>
 {
 public:
-    /// Max size of the status line and the fields.
-    static constexpr std::uint32_t max_header_bytes = 8192;
-    /// Max size of a body whose length the head doesn't state.
-    static constexpr std::size_t max_unsized_body_bytes = 4U << 20U;
+    response_parser(
+        response_message& message, const message_size& limits, bool bodiless);
 
-    /// \param bodiless Whether the answer belongs to a HEAD request.
-    response_reader(
-        response_message& message, std::size_t max_body_bytes, bool bodiless);
-
-    /// \brief Parses bytes from the front of `input` and erases them; bytes
-    /// after the end of the message stay in `input`.
+    /// \brief Parses bytes from the front of `input` and erases them.
     [[nodiscard]] read_state consume(std::string& input);
 
     /// \returns The size of the whole body, if the head has stated it.
@@ -166,8 +159,6 @@
     }
 
     /// \brief Handles the orderly end of the connection.
-    /// \returns `complete` if the end of the connection ends the answer, else
-    /// `invalid`.
     [[nodiscard]] read_state consume_end();
 
 private:
@@ -182,7 +173,10 @@
         error_code&) override
     {}
     void on_response_impl(
-        int status, string_view reason, int version, error_code&) override;
+        int status,
+        string_view reason,
+        int version,
+        error_code& error) override;
     void on_field_impl(
         boost::beast::http::field field_id,
         string_view name,
@@ -203,4 +197,48 @@
     message_size size_;
 };
 
+/// \brief Reads one final answer. Interim answers before it (1xx) are
+/// discarded; a status outside 200 to 599, and 101, since no request asks for
+/// another protocol, make the answer invalid.
+class response_reader
+{
+public:
+    /// Max size of the status line and the fields, and of all interim answers.
+    static constexpr std::uint32_t max_header_bytes = 8192;
+    /// Max size of a body whose length the head doesn't state.
+    static constexpr std::size_t max_unsized_body_bytes = 4U << 20U;
+
+    /// \param bodiless Whether the answer belongs to a HEAD request.
+    response_reader(
+        response_message& message, std::size_t max_body_bytes, bool bodiless);
+
+    /// \brief Parses bytes from the front of `input` and erases them; bytes
+    /// after the end of the message stay in `input`.
+    [[nodiscard]] read_state consume(std::string& input);
+
+    /// \returns The size of the whole body, if the head has stated it.
+    [[nodiscard]] std::optional<std::size_t> stated_body_bytes()
+    {
+        return parser_->stated_body_bytes();
+    }
+
+    /// \returns The size of the largest body that is accepted.
+    [[nodiscard]] std::size_t max_body_bytes() const noexcept
+    {
+        return parser_->max_body_bytes();
+    }
+
+    /// \brief Handles the orderly end of the connection.
+    /// \returns `complete` if the end of the connection ends the answer, else
+    /// `invalid`.
+    [[nodiscard]] read_state consume_end() { return parser_->consume_end(); }
+
+private:
+    response_message* message_;
+    message_size limits_;
+    bool bodiless_;
+    std::optional<response_parser> parser_; ///< Always set.
+    std::size_t consumed_ = 0;              ///< Bytes up to the final answer.
+};
+
 } // namespace peridotward
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -17,6 +17,15 @@
     return {text.data(), text.size()};
 }
 
+constexpr int switching_protocols = 101;
+
+/// \returns Whether another answer to the same request follows one with this
+/// status.
+bool is_interim(std::uint32_t status) noexcept
+{
+    return status < 200;
+}
+
 char to_lower(char letter) noexcept
 {
     return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + 32)
@@ -181,32 +190,57 @@
 
 response_reader::response_reader(
     response_message& message, std::size_t max_body_bytes, bool bodiless)
-    : message_{&message}, size_{max_header_bytes, max_body_bytes}
+    : message_{&message},
+      limits_{max_header_bytes, max_body_bytes},
+      bodiless_{bodiless}
+{
+    parser_.emplace(message, limits_, bodiless);
+}
+
+read_state response_reader::consume(std::string& input)
+{
+    while (true) {
+        const auto unread = input.size();
+        const auto state = parser_->consume(input);
+        consumed_ += unread - input.size();
+        if (state != read_state::complete || !is_interim(message_->status))
+            return state;
+        if (consumed_ > max_header_bytes)
+            return read_state::header_too_large;
+        parser_.emplace(*message_, limits_, bodiless_);
+        if (input.empty())
+            return read_state::incomplete;
+    }
+}
+
+response_parser::response_parser(
+    response_message& message, const message_size& limits, bool bodiless)
+    : message_{&message}, size_{limits}
 {
     message.status = 0;
     message.reason.clear();
     message.fields.clear();
     message.body.clear();
     message.memory.clear();
-    header_limit(max_header_bytes);
-    body_limit(max_body_bytes);
+    header_limit(static_cast<std::uint32_t>(limits.max_head_bytes));
+    body_limit(limits.max_body_bytes);
     eager(true);
     skip(bodiless);
 }
 
-read_state response_reader::consume(std::string& input)
+read_state response_parser::consume(std::string& input)
 {
     return parse_input(*this, size_, input);
 }
 
-std::optional<std::size_t> response_reader::stated_body_bytes()
+std::optional<std::size_t> response_parser::stated_body_bytes()
 {
     if (!is_header_done() || !content_length())
         return std::nullopt;
     return static_cast<std::size_t>(*content_length());
 }
 
-read_state response_reader::consume_end()
+read_state response_parser::consume_end()
 {
     if (!got_some() || !is_header_done())
         return read_state::invalid;
@@ -215,36 +249,38 @@
     return !error && is_done() ? read_state::complete : read_state::invalid;
 }
 
-void response_reader::on_response_impl(
-    int status, string_view reason, int, error_code&)
+void response_parser::on_response_impl(
+    int status, string_view reason, int, error_code& error)
 {
+    if (status == switching_protocols || status < 100 || status > 599)
+        error = http::make_error_code(http::error::bad_status);
     message_->status = static_cast<std::uint32_t>(status);
     message_->reason = to_std(reason);
 }
 
-void response_reader::on_field_impl(
+void response_parser::on_field_impl(
     http::field, string_view name, string_view value, error_code&)
 {
     message_->fields.add(to_std(name), to_std(value));
 }
 
-void response_reader::on_header_impl(error_code&)
+void response_parser::on_header_impl(error_code&)
 {
     message_->keep_alive = keep_alive();
     if (!content_length()) {
-        size_.max_body_bytes =
-            std::min(size_.max_body_bytes, max_unsized_body_bytes);
+        size_.max_body_bytes = std::min(
+            size_.max_body_bytes, response_reader::max_unsized_body_bytes);
         body_limit(size_.max_body_bytes);
     }
 }
 
-std::size_t response_reader::on_body_impl(string_view body, error_code&)
+std::size_t response_parser::on_body_impl(string_view body, error_code&)
 {
     message_->body += to_std(body);
     return body.size();
 }
 
-std::size_t response_reader::on_chunk_body_impl(
+std::size_t response_parser::on_chunk_body_impl(
     std::uint64_t, string_view body, error_code&)
 {
     message_->body += to_std(body);
--- a/gateway/tests/http_reader_test.cpp
+++ b/gateway/tests/http_reader_test.cpp
@@ -139,3 +139,82 @@
         CHECK(reader.consume_end() == read_state::invalid);
     }
 }
+
+// Guards against a status outside the protocol that is passed on as an answer.
+TEST_CASE("answers: a status has to end an exchange", "[http]")
+{
+    const auto head = [](int status) {
+        auto digits = std::to_string(status);
+        digits.insert(0, 3 - digits.size(), '0');
+        return "HTTP/1.1 " + digits + " Any\r\nX-Id: a\r\n";
+    };
+    for (int status = 0; status < 1000; ++status) {
+        const bool interim = status >= 100 && status < 200 && status != 101;
+        const bool final = status >= 200 && status < 600;
+        for (const bool bodiless : {false, true}) {
+            response_message answer;
+            response_reader reader{answer, 100, bodiless};
+            auto input = head(status) + "Content-Length: 0\r\n\r\n";
+            const auto state = reader.consume(input);
+            INFO(status);
+            CHECK(
+                state == (final     ? read_state::complete
+                          : interim ? read_state::incomplete
+                                    : read_state::invalid));
+            if (interim)
+                CHECK(reader.consume_end() == read_state::invalid);
+        }
+        // The end of the connection would end it.
+        response_message answer;
+        response_reader reader{answer, 100, false};
+        auto input = head(status) + "\r\n";
+        if (!interim && !final)
+            CHECK(reader.consume(input) == read_state::invalid);
+    }
+}
+
+// Guards against a sound answer that is lost since an interim one comes first.
+TEST_CASE("answers: interim answers before the final one are skipped", "[http]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\nX-Id: x\r\n\r\n"
+                                "HTTP/1.1 103 Early Hints\r\nLink: a\r\n"
+                                "Connection: close\r\n\r\n";
+    const std::string final = "HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+                              "Content-Length: 3\r\n\r\nabc";
+    const auto text = interim + final + "rest";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        response_message answer;
+        response_reader reader{answer, 100, false};
+        std::string input;
+        auto state = read_state::incomplete;
+        for (std::size_t at = 0;
+             at < text.size() && state == read_state::incomplete;
+             at += piece) {
+            input += text.substr(at, piece);
+            state = reader.consume(input);
+        }
+        REQUIRE(state == read_state::complete);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "abc");
+        CHECK(answer.keep_alive);
+        CHECK(answer.fields.size() == 2);
+        CHECK(answer.fields.find("X-Id") == "a");
+    }
+}
+
+// Guards against interim answers without end that keep a connection busy.
+TEST_CASE("answers: interim answers are limited like a head", "[http]")
+{
+    response_message answer;
+    response_reader reader{answer, 100, false};
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    std::size_t sent = 0;
+    auto state = read_state::incomplete;
+    while (state == read_state::incomplete && sent < (1U << 20U)) {
+        auto input = interim;
+        sent += input.size();
+        state = reader.consume(input);
+    }
+    CHECK(state == read_state::header_too_large);
+    CHECK(sent <= response_reader::max_header_bytes + interim.size());
+}
--- a/http/src/http_client.cpp
+++ b/http/src/http_client.cpp
@@ -48,8 +48,11 @@
 {
     auto& self = *static_cast<exchange*>(user);
     const std::string_view line{data, size * count};
-    if (line.starts_with("HTTP/"))
+    if (line.starts_with("HTTP/")) {
+        // The answer before this one, if any, was an interim one.
         self.headers_ended = false;
+        self.response.headers.clear();
+    }
     if (line == "\r\n" || line == "\n")
         self.headers_ended = true;
     const auto colon = line.find(':');
@@ -88,11 +91,18 @@
             !find_header(headers, "transfer-encoding").empty());
 }
 
-transport_outcome outcome_of(const exchange& ended, CURLcode code)
+/// \returns Whether `status` can end an exchange (RFC 9110, section 15).
+bool is_final_status(long status)
+{
+    return status >= 200 && status <= 599;
+}
+
+transport_outcome outcome_of(const exchange& ended, CURLcode code, long status)
 {
     if (code == CURLE_OK)
-        return is_self_delimited(ended) ? transport_outcome::answered
-                                        : transport_outcome::broken;
+        return is_self_delimited(ended) && is_final_status(status)
+                   ? transport_outcome::answered
+                   : transport_outcome::broken;
     if (ended.too_large)
         return transport_outcome::body_too_large;
     long sent_bytes = 0;
@@ -197,7 +207,7 @@
     curl_off_t elapsed_us = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &elapsed_us);
-    ended.response.outcome = outcome_of(ended, code);
+    ended.response.outcome = outcome_of(ended, code, status);
     ended.response.status = static_cast<std::uint16_t>(status);
     ended.response.elapsed = microseconds{elapsed_us};
     release(ended);
--- a/http/tests/http_client_test.cpp
+++ b/http/tests/http_client_test.cpp
@@ -1,9 +1,17 @@
 #include <peridotward/http/http_client.hpp>
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
 #include <standin_thread.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <optional>
+#include <string>
+#include <thread>
+#include <utility>
 
 using namespace peridotward;
 using peridotward::testing::make_response;
@@ -61,6 +69,56 @@
     testing::standin_thread thread_;
 };
 
+/// Server that answers each connection with the same bytes and closes it.
+class raw_server
+{
+public:
+    explicit raw_server(std::string bytes) : bytes_{std::move(bytes)}
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        ::inet_pton(AF_INET, address.host.c_str(), &to.sin_addr);
+        const auto* const generic = reinterpret_cast<const sockaddr*>(&to);
+        REQUIRE(::bind(listener_, generic, sizeof to) == 0);
+        REQUIRE(::listen(listener_, 4) == 0);
+        thread_ = std::thread{[this] { serve(); }};
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+    ~raw_server()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+
+    const endpoint address{"127.35.1.2", 9101};
+
+private:
+    void serve() const
+    {
+        for (int accepted = ::accept(listener_, nullptr, nullptr);
+             accepted >= 0;
+             accepted = ::accept(listener_, nullptr, nullptr)) {
+            std::array<char, 4096> request{};
+            (void)::recv(accepted, request.data(), request.size(), 0);
+            (void)::send(accepted, bytes_.data(), bytes_.size(), MSG_NOSIGNAL);
+            ::shutdown(accepted, SHUT_WR);
+            while (::recv(accepted, request.data(), request.size(), 0) > 0) {
+            }
+            ::close(accepted);
+        }
+    }
+
+    std::string bytes_;
+    int listener_ = -1;
+    std::thread thread_;
+};
+
 client_response exchange(
     http_client& client,
     const endpoint& to,
@@ -215,3 +273,43 @@
     CHECK_FALSE(called);
     CHECK(client.running() == 0);
 }
+
+// Guards against a status outside the protocol that counts as an answer.
+TEST_CASE("a response without a final status is reported as broken")
+{
+    struct example
+    {
+        std::string head;
+        transport_outcome outcome;
+        int status;
+    };
+    const std::string rest = "\r\nContent-Length: 0\r\n\r\n";
+    for (const auto& [head, outcome, status] : {
+             example{
+                 "HTTP/1.1 200 OK" + rest, transport_outcome::answered, 200},
+             {"HTTP/1.1 503 Busy" + rest, transport_outcome::answered, 503},
+             {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK" + rest,
+              transport_outcome::answered,
+              200},
+             {"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 503 Busy" + rest,
+              transport_outcome::answered,
+              503},
+             {"HTTP/1.1 000 Unknown" + rest, transport_outcome::broken, 0},
+             {"HTTP/1.1 099 Unknown" + rest, transport_outcome::broken, 0},
+             {"HTTP/1.1 101 Switching Protocols" + rest,
+              transport_outcome::broken,
+              0},
+             {"HTTP/1.1 600 Unknown" + rest, transport_outcome::broken, 0},
+             {"HTTP/1.1 999 Unknown" + rest, transport_outcome::broken, 0},
+         }) {
+        INFO(head);
+        raw_server server{head};
+        http_client client{max_body};
+        const auto response = exchange(client, server.address, "GET", true);
+        CHECK(response.outcome == outcome);
+        if (outcome == transport_outcome::answered)
+            CHECK(response.status == status);
+        // Belongs to an interim answer.
+        CHECK(find_header(response.headers, "link").empty());
+    }
+}
