soak: replicas answer requests that they ran with odd statuses

In the runs with hostile parts, 2 in 100 requests that a replica runs are answered 408, 429 or 503 without the statement that they have not run, with 000, 101, 103 or 600, or after interim answers. A refusal must not have run on any kind of route, and an answer has a final status.

--- a/soak/caller_connection.cpp
+++ b/soak/caller_connection.cpp
@@ -49,6 +49,12 @@
     record.ended = steady::now();
     if (code) {
         open_ = false;
+        // Also an error of the parser: the connection has ended.
+        record.malformed =
+            code.category() ==
+                http::make_error_code(http::error::bad_status).category() &&
+            code != http::error::end_of_stream &&
+            code != http::error::partial_message;
         return;
     }
     record.status = static_cast<int>(response.result_int());
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -333,15 +333,21 @@
     for (const auto& execution : executions_)
         ++executions[execution.id];
     for (const auto& record : attempts_) {
-        if (!record.at_most_once)
-            continue;
         const auto found = executions.find(record.id);
         const int count = found == executions.end() ? 0 : found->second;
-        if (count > 1)
+        if (record.at_most_once && count > 1)
             violations.push_back("twice: " + record.id);
-        const bool refused = record.status == 503 || record.status == 429;
+        const bool refused = record.status == 503 || record.status == 429 ||
+                             record.status == 408 || record.status == 421;
         if (refused && count > 0)
-            violations.push_back("refused, but ran: " + record.id);
+            violations.push_back(
+                "refused, but ran: " + record.id +
+                (record.at_most_once ? "" : ", which may be repeated"));
+        const bool final = record.status >= 200 && record.status < 600;
+        if (record.malformed || (record.status != 0 && !final))
+            violations.push_back(
+                "no final status: " + record.id + ", " +
+                std::to_string(record.status));
     }
 }
 
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -23,6 +23,8 @@
     steady::time_point sent;
     steady::time_point ended;
     int status = 0; ///< 0: no complete response was received.
+    /// What was received instead is no response in the protocol.
+    bool malformed = false;
     std::string part_stamps;
     std::string missing_shards;
     std::string body;
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -94,6 +94,7 @@
         add_service(slow_service, slow_replicas, slow_slots);
     if (plays_hostile_parts()) {
         replicas_.late_copy_share = late_copy_share;
+        replicas_.odd_status_share = odd_status_share;
         add_foreign_servers();
     }
     replicas_.on_crash = [this](const auto& replica) { crash(replica); };
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -33,6 +33,8 @@
     static constexpr int replicas_per_service = 3;
     /// Share of the answers that replicas send twice, late.
     static constexpr double late_copy_share = 0.03;
+    /// Share of the requests that replicas run and answer with an odd status.
+    static constexpr double odd_status_share = 0.02;
     /// Kinds of runs, which the seed selects.
     static constexpr std::uint64_t profiles = 3;
 
--- a/soak/standins/replicas.cpp
+++ b/soak/standins/replicas.cpp
@@ -2,6 +2,9 @@
 
 #include <peridotward/base/json.hpp>
 
+#include <array>
+#include <string_view>
+
 namespace peridotward::soak {
 
 using namespace testing;
@@ -12,6 +15,27 @@
 constexpr std::chrono::milliseconds min_service_time{2};
 constexpr std::uint64_t service_time_spread_ms = 8;
 
+/// How a replica answers that has run the request.
+struct odd_answer
+{
+    std::string_view interim;
+    std::string_view status_line; ///< Empty for that of the usual answer.
+};
+
+constexpr std::array<odd_answer, 11> odd_answers{{
+    {"", "HTTP/1.1 503 Service Unavailable"},
+    {"", "HTTP/1.1 429 Too Many Requests"},
+    {"", "HTTP/1.1 408 Request Timeout"},
+    {"", "HTTP/1.1 000 Unknown"},
+    {"", "HTTP/1.1 101 Switching Protocols"},
+    {"", "HTTP/1.1 103 Early Hints"},
+    {"", "HTTP/1.1 600 Unknown"},
+    {"HTTP/1.1 000 Unknown\r\n\r\n", ""},
+    {"HTTP/1.1 100 Continue\r\n\r\n", ""},
+    {"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", ""},
+    {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 503 Service Unavailable"},
+}};
+
 std::string header_value(const standin_request& request, const char* name)
 {
     const auto found = request.find(name);
@@ -43,7 +67,11 @@
     invariant_checker& checker,
     store& shared,
     std::uint64_t seed)
-    : context_{&context}, checker_{&checker}, store_{&shared}, random_{seed}
+    : context_{&context},
+      checker_{&checker},
+      store_{&shared},
+      random_{seed},
+      status_random_{seed + 1}
 {}
 
 void replicas::add(replica_standin replica)
@@ -60,6 +88,15 @@
     listen_for(std::make_shared<replica_standin>(std::move(server)));
 }
 
+void replicas::add_odd_status(wire_fault& fault)
+{
+    if (odd_status_share <= 0 || status_random_.unit() >= odd_status_share)
+        return;
+    const auto& chosen = odd_answers[status_random_.below(odd_answers.size())];
+    fault.status_line = chosen.status_line;
+    fault.interim = chosen.interim;
+}
+
 respond replicas::with_late_copies(respond answer)
 {
     if (late_copy_share <= 0)
@@ -163,6 +200,7 @@
     }
     else if (draw < replica->break_share + replica->hang_share)
         fault.hang = true;
+    add_odd_status(fault);
     const bool search = request.target().starts_with("/search/");
     auto response = make_response(200, "");
     if (replica->leaving) {
--- a/soak/standins/replicas.hpp
+++ b/soak/standins/replicas.hpp
@@ -84,6 +84,9 @@
     void publish(const replica_standin& replica, bool draining = false);
     /// Share of all answers that a replica sends a second time, late.
     double late_copy_share = 0;
+    /// Share of the requests that a replica runs and answers with a status that
+    /// promises the contrary, that is none, or after interim answers.
+    double odd_status_share = 0;
 
     /// Called when a request has crashed the replica.
     std::function<void(const std::shared_ptr<replica_standin>&)> on_crash;
@@ -99,6 +102,8 @@
         testing::standin_request request,
         testing::respond answer);
     void listen_for(const std::shared_ptr<replica_standin>& replica);
+    /// \brief Gives some answers to requests that were run an odd status.
+    void add_odd_status(testing::wire_fault& fault);
     /// \returns `answer`, which sends some responses twice.
     [[nodiscard]] testing::respond with_late_copies(testing::respond answer);
 
@@ -106,6 +111,7 @@
     invariant_checker* checker_;
     store* store_;
     random_source random_;
+    random_source status_random_;
     std::vector<std::shared_ptr<replica_standin>> all_;
 };
 
--- a/tests/standins/http_standin.cpp
+++ b/tests/standins/http_standin.cpp
@@ -16,11 +16,15 @@
 constexpr std::size_t max_body = 16U << 20U;
 constexpr std::size_t max_endless_piece = 65536;
 
-std::string to_bytes(const standin_response& response)
+std::string to_bytes(const standin_response& response, const wire_fault& fault)
 {
     std::ostringstream stream;
     stream << response;
-    return stream.str();
+    auto bytes = stream.str();
+    if (!fault.status_line.empty())
+        bytes.replace(0, bytes.find("\r\n"), fault.status_line);
+    bytes.insert(0, fault.interim);
+    return bytes;
 }
 
 /// \returns What begins the endless bytes, and what follows without end.
@@ -119,11 +123,12 @@
         response.keep_alive(keep_alive_);
         response.prepare_payload();
         if (fault.cut_at >= 1.0 && !fault.drip && !fault.copy_late &&
-            late_copy_.empty()) {
+            late_copy_.empty() && fault.status_line.empty() &&
+            fault.interim.empty()) {
             write_response(std::move(response));
             return;
         }
-        const auto response_bytes = to_bytes(response);
+        const auto response_bytes = to_bytes(response, fault);
         bytes_ = std::exchange(late_copy_, {}) + response_bytes;
         if (fault.copy_late)
             late_copy_ = response_bytes;
--- a/tests/standins/http_standin.hpp
+++ b/tests/standins/http_standin.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace peridotward::testing {
 
@@ -39,6 +40,10 @@
     bool close = false;      ///< Respond with keep-alive, then close the
                              ///< connection when the next request arrives.
     bool drip = false;       ///< Send one byte every 20 ms.
+    /// Replaces the status line, if not empty, without its line end.
+    std::string_view status_line{};
+    /// Sent before the response.
+    std::string_view interim{};
     /// Send the response again, before the next one on the connection.
     bool copy_late = false;
     endless_bytes endless = endless_bytes::none; ///< Until the peer closes.
