--- a/gateway/include/peridotward/gateway/gateway_settings.hpp
+++ b/gateway/include/peridotward/gateway/gateway_settings.hpp
@@ -56,6 +56,16 @@
         return memory_mb == 0 ? memory_budget::default_capacity
                               : (std::size_t{memory_mb} << 20U) / 2;
     }
+
+    /// \returns The memory for changes of the platform's store, in bytes: a
+    /// sixteenth of the limit, but enough for the largest value (1 MiB) as JSON
+    /// and decoded. Those of one answer, those kept for other instances and
+    /// those on the way to them may each use so much.
+    [[nodiscard]] std::size_t change_memory() const noexcept
+    {
+        constexpr std::size_t least = 4U << 20U;
+        return std::max(message_memory() / 8, least);
+    }
 };
 
 /// \returns The settings in `text` (JSON with comments), or `config_invalid`
--- a/gateway/include/peridotward/gateway/http_reader.hpp
+++ b/gateway/include/peridotward/gateway/http_reader.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -88,6 +89,8 @@
 {
     std::size_t max_head_bytes = 0; ///< Also of a chunk's line and a trailer.
     std::size_t max_body_bytes = 0;
+    /// Of a body whose length the head doesn't state.
+    std::size_t max_unsized_bytes = std::numeric_limits<std::size_t>::max();
     std::size_t consumed = 0;
 };
 
@@ -205,12 +208,17 @@
 public:
     /// Max size of the status line and the fields, and of all interim answers.
     static constexpr std::uint32_t max_header_bytes = 8192;
-    /// Max size of a body whose length the head doesn't state.
+    /// Usual max size of a body whose length the head doesn't state.
     static constexpr std::size_t max_unsized_body_bytes = 4U << 20U;
 
     /// \param bodiless Whether the answer belongs to a HEAD request.
+    /// \param max_unsized Max size of a body whose length the head doesn't
+    /// state.
     response_reader(
-        response_message& message, std::size_t max_body_bytes, bool bodiless);
+        response_message& message,
+        std::size_t max_body_bytes,
+        bool bodiless,
+        std::size_t max_unsized = max_unsized_body_bytes);
 
     /// \brief Parses bytes from the front of `input` and erases them; bytes
     /// after the end of the message stay in `input`.
--- a/gateway/src/http_reader.cpp
+++ b/gateway/src/http_reader.cpp
@@ -189,9 +189,12 @@
 }
 
 response_reader::response_reader(
-    response_message& message, std::size_t max_body_bytes, bool bodiless)
+    response_message& message,
+    std::size_t max_body_bytes,
+    bool bodiless,
+    std::size_t max_unsized)
     : message_{&message},
-      limits_{max_header_bytes, max_body_bytes},
+      limits_{max_header_bytes, max_body_bytes, max_unsized},
       bodiless_{bodiless}
 {
     parser_.emplace(message, limits_, bodiless);
@@ -268,8 +271,8 @@
 {
     message_->keep_alive = keep_alive();
     if (!content_length()) {
-        size_.max_body_bytes = std::min(
-            size_.max_body_bytes, response_reader::max_unsized_body_bytes);
+        size_.max_body_bytes =
+            std::min(size_.max_body_bytes, size_.max_unsized_bytes);
         body_limit(size_.max_body_bytes);
     }
 }
--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -59,12 +59,31 @@
 
 void store_state::put(const std::string& key, const std::string& value)
 {
-    items_[key] = {value, ++revision_, false};
+    record(key, items_[key] = {value, ++revision_, false});
 }
 
 void store_state::remove(const std::string& key)
 {
-    items_[key] = {"", ++revision_, true};
+    record(key, items_[key] = {"", ++revision_, true});
+}
+
+void store_state::record(const std::string& key, const item& change)
+{
+    history_bytes_ += change.value.size();
+    history_[change.revision] = {key, change.value, change.removed};
+    while (history_bytes_ > max_history_bytes) {
+        const auto oldest = history_.begin();
+        oldest_revision_ = std::max(oldest_revision_, oldest->first);
+        history_bytes_ -= oldest->second.value.size();
+        history_.erase(oldest);
+    }
+}
+
+void store_state::compact()
+{
+    oldest_revision_ = revision_;
+    history_.clear();
+    history_bytes_ = 0;
 }
 
 void store_state::take_copy()
@@ -84,6 +103,10 @@
         if (current.removed)
             lost.back().value.reset();
     }
+    const auto lost_from = history_.upper_bound(copy_->revision);
+    for (auto it = lost_from; it != history_.end(); ++it)
+        history_bytes_ -= it->second.value.size();
+    history_.erase(lost_from, history_.end());
     items_ = copy_->items;
     revision_ = copy_->revision;
     oldest_revision_ = std::min(oldest_revision_, revision_);
@@ -108,10 +131,13 @@
 {
     auto items = json::array();
     bool has_more = false;
+    std::size_t bytes = 0;
     for (auto it = items_.upper_bound(after_key); it != items_.end(); ++it) {
         if (it->second.removed)
             continue;
-        has_more = items.size() == items_per_page;
+        bytes += it->second.value.size();
+        has_more = items.size() == items_per_page ||
+                   (!items.empty() && bytes > max_page_bytes);
         if (has_more)
             break;
         items.push_back(
@@ -135,20 +161,15 @@
         return store_answer{410, "this history is not available"};
     if (revision == revision_)
         return std::nullopt;
-    std::map<std::uint64_t, json> events;
-    for (const auto& [key, stored] : items_) {
-        if (stored.revision <= revision)
-            continue;
-        auto& event = events[stored.revision] = {
-            {"key", key}, {"revision", stored.revision}};
-        if (stored.removed)
-            event["removed"] = true;
+    auto list = json::array();
+    for (auto it = history_.upper_bound(revision); it != history_.end(); ++it) {
+        json told{{"key", it->second.key}, {"revision", it->first}};
+        if (it->second.removed)
+            told["removed"] = true;
         else
-            event["value"] = base64(stored.value);
+            told["value"] = base64(it->second.value);
+        list.push_back(std::move(told));
     }
-    auto list = json::array();
-    for (auto& [event_revision, event] : events)
-        list.push_back(std::move(event));
     return store_answer{
         200, json{{"events", list}, {"storeRevision", revision_}}.dump()};
 }
--- a/tests/standins/store_state.hpp
+++ b/tests/standins/store_state.hpp
@@ -30,11 +30,16 @@
 class store_state
 {
 public:
+    /// Max size of the values in the change history; older changes are dropped.
+    static constexpr std::size_t max_history_bytes = 512U << 20U;
+    /// Max size of the values in a page, if it has more than one item.
+    static constexpr std::size_t max_page_bytes = 1'000'000;
+
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
     /// Discards the change history: a watch from an older revision gets 410.
-    void compact() { oldest_revision_ = revision_; }
+    void compact();
 
     /// Stores a copy of all items, which `restore_copy` returns to.
     void take_copy();
@@ -77,7 +82,17 @@
         std::uint64_t revision;
     };
 
+    struct event
+    {
+        std::string key;
+        std::string value;
+        bool removed = false;
+    };
+    void record(const std::string& key, const item& change);
+
     item_map items_;
+    std::map<std::uint64_t, event> history_; ///< By revision.
+    std::size_t history_bytes_ = 0;
     std::optional<copy> copy_;
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_revision_ = 0;
