gateway: what a relayed answer says of its replica is recorded

Cause: only the instance that sent the attempt recorded an answer's fields; relay_operation passed them on unread.

Change: read_notice and upstream_catalog::apply_notice record leaving, rate limit, pause, cold start and load in one place for both paths. The instance that sent the attempt names the replica and its start to the one that relayed the request; a start that isn't published there yet is remembered for 60 s.

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <peridotward/core/discovery/answer_notice.hpp>
 #include <peridotward/core/discovery/upstream_record.hpp>
 #include <peridotward/core/placement/replica_health.hpp>
 
@@ -10,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace peridotward {
@@ -36,6 +38,8 @@
     /// Whether the upstream said in an answer that it is leaving; an upstream
     /// never returns from that within one start.
     bool leaving = false;
+    /// When it last asked for a pause.
+    time_point paused_at;
     /// Requests a second that the replica takes from all instances together, as
     /// its last answer said.
     std::optional<double> rate_limit;
@@ -88,6 +92,12 @@
     /// the rest is the delay of the watch. Less than the minimum drain time of
     /// 3 s.
     static constexpr milliseconds lapse_return{2300};
+    /// Max age of what is known of an upstream that isn't published yet; longer
+    /// than an upstream that leaves goes on serving.
+    static constexpr seconds max_notice_age{60};
+    /// Max number of upstreams that aren't published yet of which something is
+    /// known.
+    static constexpr std::size_t max_early_notices = 1000;
 
     /// \brief Adds a new publication or updates a known one.
     void publish(upstream_record record, time_point now);
@@ -107,6 +117,21 @@
     /// \returns Whether that is new.
     bool mark_leaving(replica_number number);
 
+    /// \brief Records what an answer says of the upstream that sent it.
+    /// \returns What is new.
+    notice_changes apply_notice(
+        replica_number number, const answer_notice& notice, time_point now);
+
+    /// \brief Records what an answer that another instance got says of its
+    /// upstream; for `max_notice_age` if that start isn't known yet.
+    /// \param start_id 0 if unknown.
+    /// \returns The replica and what is new, if it is known.
+    std::optional<std::pair<replica_number, notice_changes>> apply_notice_of(
+        const std::string& id,
+        std::uint64_t start_id,
+        const answer_notice& notice,
+        time_point now);
+
     /// \brief Records that another upstream answered at the replica's address.
     ///
     /// \remarks Each further attempt would arrive at that upstream, as an extra
@@ -170,9 +195,28 @@
         std::uint64_t start_id;
         bool leaving;
         time_point paused_until;
+        time_point paused_at;
+    };
+    /// The same of a start that isn't published yet.
+    struct early_notice
+    {
+        std::uint64_t start_id = 0;
+        time_point at; ///< Of the last answer.
+        bool leaving = false;
+        time_point paused_until;
+        time_point paused_at;
+        time_point cold_until;
+        bool tells_rate_limit = false;
+        std::optional<double> rate_limit;
     };
 
     void add(upstream_record record, time_point now);
+    void apply_early_notice(replica& added, time_point now);
+    void remember_notice(
+        const std::string& id,
+        std::uint64_t start_id,
+        const answer_notice& notice,
+        time_point now);
     void remove(replica_number number);
     /// Applies a record regardless of its position.
     void update(replica& target, upstream_record record, time_point now);
@@ -193,6 +237,7 @@
     /// By address: notices of removed upstreams, so that a publication that
     /// lapsed and returns changes nothing.
     std::map<endpoint, upstream_notice> notices_;
+    std::map<std::string, early_notice> early_notices_; ///< By id.
     /// When the store lost the exclusion of a domain.
     std::map<std::string, time_point, std::less<>> lost_exclusions_;
 };
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -74,15 +74,19 @@
     if (const auto notice = notices_.find(record.address);
         notice != notices_.end()) {
         const auto& said = notice->second;
-        if (said.id == record.id && said.start_id == record.start_id) {
+        const bool same_start = said.start_id == record.start_id;
+        if (said.id == record.id && same_start)
             added->leaving = said.leaving;
+        if (said.id == record.id && same_start) {
             added->health.pause_until(said.paused_until);
+            added->paused_at = said.paused_at;
         }
         notices_.erase(notice);
     }
     by_id_[record.id] = added->number;
     by_service_[record.service].push_back(added->number);
     added->published = std::move(record);
+    apply_early_notice(*added, now);
     replicas_.push_back(std::move(added));
     const auto& address = replicas_.back()->published.address;
     by_address_[address].push_back(replicas_.back()->number);
@@ -100,7 +104,8 @@
                 removed.id,
                 removed.start_id,
                 at(number).leaving,
-                paused_until});
+                paused_until,
+                at(number).paused_at});
     if (const auto at_address = by_address_.find(removed.address);
         at_address != by_address_.end()) {
         std::erase(at_address->second, number);
@@ -222,6 +227,104 @@
     return !std::exchange(at(number).leaving, true);
 }
 
+notice_changes upstream_catalog::apply_notice(
+    replica_number number, const answer_notice& notice, time_point now)
+{
+    auto& target = at(number);
+    notice_changes changes;
+    if (notice.load)
+        target.health.on_load(*notice.load, now);
+    if (notice.cold_left)
+        target.cold_until = now + *notice.cold_left;
+    if (notice.leaving)
+        changes.leaving = mark_leaving(number);
+    if (notice.tells_rate_limit) {
+        changes.rate_limit =
+            notice.rate_limit.has_value() != target.rate_limit.has_value();
+        target.rate_limit = notice.rate_limit;
+        if (changes.rate_limit)
+            target.rate_limit_ended = !notice.rate_limit;
+    }
+    if (notice.pause) {
+        changes.paused = !target.health.paused(now);
+        target.health.pause_until(now + *notice.pause);
+        target.paused_at = now;
+    }
+    return changes;
+}
+
+std::optional<std::pair<replica_number, notice_changes>>
+upstream_catalog::apply_notice_of(
+    const std::string& id,
+    std::uint64_t start_id,
+    const answer_notice& notice,
+    time_point now)
+{
+    const auto known = find(id);
+    const auto known_start = known ? at(*known).published.start_id : 0;
+    const bool earlier = known && start_id != 0 && start_id < known_start;
+    if (earlier)
+        return std::nullopt;
+    if (known && (start_id == 0 || start_id == known_start))
+        return std::pair{*known, apply_notice(*known, notice, now)};
+    remember_notice(id, start_id, notice, now);
+    return std::nullopt;
+}
+
+void upstream_catalog::remember_notice(
+    const std::string& id,
+    std::uint64_t start_id,
+    const answer_notice& notice,
+    time_point now)
+{
+    std::erase_if(early_notices_, [&](const auto& each) {
+        return now - each.second.at > max_notice_age;
+    });
+    auto known = early_notices_.find(id);
+    if (known == early_notices_.end()) {
+        if (early_notices_.size() >= max_early_notices)
+            return;
+        known = early_notices_.emplace(id, early_notice{}).first;
+    }
+    if (known->second.start_id != start_id)
+        known->second = {};
+    auto& said = known->second;
+    said.start_id = start_id;
+    said.at = now;
+    said.leaving = said.leaving || notice.leaving;
+    if (notice.pause) {
+        said.paused_until = std::max(said.paused_until, now + *notice.pause);
+        said.paused_at = now;
+    }
+    if (notice.cold_left)
+        said.cold_until = now + *notice.cold_left;
+    if (notice.tells_rate_limit) {
+        said.tells_rate_limit = true;
+        said.rate_limit = notice.rate_limit;
+    }
+}
+
+void upstream_catalog::apply_early_notice(replica& added, time_point now)
+{
+    const auto found = early_notices_.find(added.published.id);
+    if (found == early_notices_.end())
+        return;
+    const auto& said = found->second;
+    const bool same_start =
+        said.start_id == 0 || said.start_id == added.published.start_id;
+    if (same_start && now - said.at <= max_notice_age) {
+        added.leaving = added.leaving || said.leaving;
+        added.health.pause_until(said.paused_until);
+        added.paused_at = std::max(added.paused_at, said.paused_at);
+        added.cold_until = std::max(added.cold_until, said.cold_until);
+        if (said.tells_rate_limit)
+            added.rate_limit = said.rate_limit;
+    }
+    // That of a later start than the published one still waits for it.
+    if (same_start || said.start_id < added.published.start_id)
+        early_notices_.erase(found);
+}
+
 void upstream_catalog::set_domain_excluded(
     std::string_view domain, bool excluded)
 {
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -519,3 +519,85 @@
         CHECK(availability(a) == replica_availability::serving);
     }
 }
+
+namespace {
+
+struct noticed_field
+{
+    const char* name;
+    answer_notice notice;
+    bool (*known)(const replica& of, time_point now);
+};
+
+std::vector<noticed_field> noticed_fields()
+{
+    std::vector<noticed_field> fields(4);
+    fields[0].name = "leaving";
+    fields[0].notice.leaving = true;
+    fields[0].known = [](const replica& of, time_point) { return of.leaving; };
+    fields[1].name = "pause";
+    fields[1].notice.pause = seconds{20};
+    fields[1].known = [](const replica& of, time_point now) {
+        return of.health.paused(now);
+    };
+    fields[2].name = "cold";
+    fields[2].notice.cold_left = seconds{20};
+    fields[2].known = [](const replica& of, time_point now) {
+        return of.cold(now);
+    };
+    fields[3].name = "rate limit";
+    fields[3].notice.tells_rate_limit = true;
+    fields[3].notice.rate_limit = 3.0;
+    fields[3].known = [](const replica& of, time_point) {
+        return of.rate_limit == 3.0;
+    };
+    return fields;
+}
+
+} // namespace
+
+TEST_CASE(
+    "discovery: what another instance was told is known of the right start",
+    "[discovery]")
+{
+    for (const auto& field : noticed_fields()) {
+        INFO(field.name);
+        const auto now = start + seconds{1};
+        const auto publish = [&](upstream_catalog& catalog, std::uint64_t id) {
+            auto record = record_of("a", id);
+            record.start_id = id;
+            catalog.publish(record, now);
+        };
+        // \returns Whether it is known of the start `published`.
+        const auto known = [&](std::uint64_t before,
+                               std::uint64_t told,
+                               std::uint64_t published) {
+            upstream_catalog catalog;
+            if (before != 0)
+                publish(catalog, before);
+            catalog.apply_notice_of("a", told, field.notice, now);
+            if (published != before)
+                publish(catalog, published);
+            return field.known(only_replica(catalog), now);
+        };
+        CHECK(known(2, 2, 2));
+        CHECK(known(2, 0, 2));
+        CHECK_FALSE(known(2, 1, 2));
+        CHECK_FALSE(known(2, 3, 2));
+        // The start isn't published yet.
+        CHECK(known(0, 2, 2));
+        CHECK(known(0, 0, 2));
+        CHECK(known(1, 2, 2));
+        CHECK_FALSE(known(0, 1, 2));
+        CHECK_FALSE(known(0, 3, 2));
+        // Too old.
+        upstream_catalog catalog;
+        catalog.apply_notice_of(
+            "a",
+            1,
+            field.notice,
+            now - upstream_catalog::max_notice_age - seconds{1});
+        publish(catalog, 1);
+        CHECK_FALSE(field.known(only_replica(catalog), now));
+    }
+}
--- a/gateway/include/peridotward/gateway/header_names.hpp
+++ b/gateway/include/peridotward/gateway/header_names.hpp
@@ -31,6 +31,9 @@
     /// Beside it in a request: version of the sender's configuration, and after
     /// a space the digest of the route in it.
     std::string relayed_config = "Peridotward-Relayed-Config";
+    /// In an answer: the id of the upstream that sent it and, after a space,
+    /// its start.
+    std::string relayed_upstream = "Peridotward-Relayed-Upstream";
 };
 
 } // namespace peridotward
--- a/gateway/include/peridotward/gateway/upstream_connection.hpp
+++ b/gateway/include/peridotward/gateway/upstream_connection.hpp
@@ -121,8 +121,6 @@
     void remember(std::string_view request_id);
     void set_buffered(std::size_t bytes) noexcept;
     void record_answer_fields();
-    void record_rate_limit();
-    void record_pause();
     [[nodiscard]] forward_outcome outcome_of_answer() const;
     void report(forward_outcome outcome, response_message* answer);
     /// \returns The events that this connection waits for in its state.
--- a/gateway/include/peridotward/gateway/upstream_pool.hpp
+++ b/gateway/include/peridotward/gateway/upstream_pool.hpp
@@ -98,6 +98,16 @@
     /// get new requests.
     [[nodiscard]] bool wants_requests(replica_number number) const;
 
+    /// \brief Records what an answer says of the replica that sent it.
+    void record_notice(replica_number number, const answer_notice& notice);
+
+    /// \brief Records what an answer that another instance got says of its
+    /// upstream, which may not be known here yet.
+    void record_notice_of(
+        const std::string& id,
+        std::uint64_t start_id,
+        const answer_notice& notice);
+
     /// Called when a connection to a replica is refused.
     std::function<void(replica_number)> on_refused;
 
@@ -146,6 +156,10 @@
     [[nodiscard]] const header_names& names() const noexcept { return *names_; }
 
 private:
+    void report_changes(
+        replica_number number,
+        const answer_notice& notice,
+        const notice_changes& changes);
     using connection_list = boost::intrusive::
         list<upstream_connection, boost::intrusive::constant_time_size<false>>;
 
--- a/gateway/src/forward_operation.cpp
+++ b/gateway/src/forward_operation.cpp
@@ -1,5 +1,6 @@
 #include "forward_operation.hpp"
 #include "forwarded_fields.hpp"
+#include "notice_fields.hpp"
 
 #include <peridotward/core/budgets/connection_share.hpp>
 #include <peridotward/core/gather/record_merge.hpp>
@@ -47,6 +48,9 @@
       body_{session.request().body},
       has_length_{session.request().has_length},
       bodiless_{session.request().method == "HEAD"},
+      relayed_{
+          session.request().fields.find(owner.names_->relayed).has_value() &&
+          owner.is_instance(session.caller_host())},
       timer_{[this] { on_timeout(); }}
 {
     bodies_.resize(request_.part_count());
@@ -194,11 +198,27 @@
         withdraw_unneeded();
     }
     else if (outcome == forward_outcome::failed && answer != nullptr)
-        store_failure(*answer);
+        store_failure(attempt, *answer);
     execute_actions();
 }
 
-void forward_operation::store_failure(response_message& answer)
+std::string forward_operation::head_for_caller(
+    std::uint32_t attempt, const response_message& answer) const
+{
+    auto head = forwarded_answer_head(answer, *owner_->names_);
+    // The other instance notes what the answer says of the upstream.
+    const auto& sender =
+        owner_->catalog_.at(request_.replica_of(attempt)).published;
+    if (relayed_)
+        add_field(
+            head,
+            owner_->names_->relayed_upstream,
+            name_upstream({sender.id, sender.start_id}));
+    return head;
+}
+
+void forward_operation::store_failure(
+    std::uint32_t attempt, response_message& answer)
 {
     const auto facts =
         describe_answer(answer, *owner_->names_, attempt_receiver::replica);
@@ -209,7 +229,7 @@
         return;
     }
     failure_.facts = facts;
-    failure_.head = forwarded_answer_head(answer, *owner_->names_);
+    failure_.head = head_for_caller(attempt, answer);
     failure_.body = std::move(answer.body);
     hold_memory(answer);
 }
@@ -227,7 +247,7 @@
     signatures_[part] =
         answer.fields.find(owner_->names_->signature).value_or("");
     if (!request_.route()->scatters())
-        answer_head_ = forwarded_answer_head(answer, *owner_->names_);
+        answer_head_ = head_for_caller(attempt, answer);
 }
 
 void forward_operation::hold_memory(response_message& answer)
--- a/gateway/src/forward_operation.hpp
+++ b/gateway/src/forward_operation.hpp
@@ -66,9 +66,13 @@
     void abandon();
     void store_part(std::uint32_t attempt, response_message& answer);
     /// \brief Keeps a failure for the caller if it can be passed on.
-    void store_failure(response_message& answer);
+    void store_failure(std::uint32_t attempt, response_message& answer);
     /// \brief Keeps what an answer whose body is kept has claimed.
     void hold_memory(response_message& answer);
+    /// \returns The status line and the fields for the caller of an answer to
+    /// the attempt.
+    [[nodiscard]] std::string head_for_caller(
+        std::uint32_t attempt, const response_message& answer) const;
     void finish(forward_end end);
     /// \brief Gives back the credit of the account's quota.
     void refund();
@@ -89,6 +93,7 @@
     std::string body_;
     bool has_length_;
     bool bodiless_;
+    bool relayed_; ///< The caller is another instance.
     std::vector<std::string> bodies_;
     std::vector<std::string> signatures_;
     std::string answer_head_;
--- a/gateway/src/forwarded_fields.cpp
+++ b/gateway/src/forwarded_fields.cpp
@@ -109,7 +109,8 @@
     for (std::size_t i = 0; i < answer.fields.size(); ++i) {
         const auto field = answer.fields.at(i);
         if (!is_hop_by_hop(field.name, connection) &&
-            !equals_ignoring_case(field.name, names.relayed))
+            !equals_ignoring_case(field.name, names.relayed) &&
+            !equals_ignoring_case(field.name, names.relayed_upstream))
             add_field(head, field.name, field.value);
     }
     return head;
--- a/gateway/src/relay_operation.cpp
+++ b/gateway/src/relay_operation.cpp
@@ -1,4 +1,5 @@
 #include "forwarded_fields.hpp"
+#include "notice_fields.hpp"
 #include "relay_operation.hpp"
 
 #include <sys/epoll.h>
@@ -247,6 +248,11 @@
     end_target(relay_result::served);
     owner_->replaced_ = owner_->pool_.contact().lost();
     memory_.on_complete();
+    if (const auto sender = read_upstream(answer_, *owner_->names_))
+        owner_->pool_.record_notice_of(
+            sender->id,
+            sender->start_id,
+            read_notice(answer_, *owner_->names_));
     const auto facts =
         describe_answer(answer_, *owner_->names_, attempt_receiver::instance);
     const auto reply = reply_to(false, facts);
--- a/gateway/src/upstream_connection.cpp
+++ b/gateway/src/upstream_connection.cpp
@@ -1,8 +1,7 @@
 #include "forwarded_fields.hpp"
+#include "notice_fields.hpp"
 
 #include <peridotward/base/hash.hpp>
-#include <peridotward/gateway/load_field.hpp>
-#include <peridotward/gateway/retry_after.hpp>
 #include <peridotward/gateway/upstream_pool.hpp>
 
 #include <sys/epoll.h>
@@ -12,7 +11,6 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
-#include <cmath>
 #include <utility>
 
 namespace peridotward {
@@ -24,7 +22,6 @@
 constexpr std::size_t read_bytes = 16384;
 /// Another upstream has the address.
 constexpr std::uint32_t misdirected_request = 421;
-constexpr std::uint32_t service_unavailable = 503;
 
 std::optional<std::uint32_t> parse_number(std::string_view text)
 {
@@ -36,18 +33,6 @@
     return value;
 }
 
-/// Parses a decimal number of requests a second.
-std::optional<double> parse_rate(std::string_view text)
-{
-    double value = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, value);
-    if (error != std::errc{} || stop != end || !std::isfinite(value) ||
-        value < 0)
-        return std::nullopt;
-    return value;
-}
-
 /// Parses the seconds of `timeout=N` in a Keep-Alive field.
 std::optional<seconds> parse_idle_time(std::string_view text)
 {
@@ -336,63 +321,15 @@
     // The fields describe the upstream that answers, which isn't this one.
     if (answer_.status == misdirected_request)
         return;
-    const auto now = pool_->loop().now();
-    auto& replica = pool_->catalog().at(replica_);
-    if (const auto text = answer_.fields.find(pool_->names().load)) {
-        if (const auto load = parse_load_field(*text))
-            replica.health.on_load(*load, now);
-    }
-    if (const auto text = answer_.fields.find(pool_->names().cold_left)) {
-        if (const auto remaining = parse_number(*text))
-            replica.cold_until = now + milliseconds{*remaining};
-    }
-    const bool leaving =
-        answer_.fields.find(pool_->names().leaving).value_or("") == "1";
-    if (leaving && pool_->catalog().mark_leaving(replica_) && pool_->on_leaving)
-        pool_->on_leaving(replica_);
-    record_rate_limit();
-    if (answer_.status == service_unavailable)
-        record_pause();
+    pool_->record_notice(replica_, read_notice(answer_, pool_->names()));
     usable_until_ = time_point::max();
     if (const auto text = answer_.fields.find("Keep-Alive")) {
         if (const auto idle = parse_idle_time(*text))
-            usable_until_ = now + *idle - upstream_pool::idle_margin;
+            usable_until_ =
+                pool_->loop().now() + *idle - upstream_pool::idle_margin;
     }
 }
 
-void upstream_connection::record_rate_limit()
-{
-    auto& replica = pool_->catalog().at(replica_);
-    auto& current = replica.rate_limit;
-    const auto text = answer_.fields.find(pool_->names().rate_limit);
-    // A refusal may come from a part of the upstream that knows no limit.
-    if (!text && answer_.fields.find(pool_->names().not_run))
-        return;
-    const auto named = text ? parse_rate(*text) : std::nullopt;
-    if (text && !named)
-        return;
-    const bool changed = named.has_value() != current.has_value();
-    current = named;
-    if (changed)
-        replica.rate_limit_ended = !named;
-    if (changed && pool_->on_rate_limit)
-        pool_->on_rate_limit(replica_);
-}
-
-void upstream_connection::record_pause()
-{
-    const auto text = answer_.fields.find("Retry-After");
-    const auto pause = text ? parse_retry_after(*text) : std::nullopt;
-    if (!pause || *pause <= milliseconds{})
-        return;
-    const auto now = pool_->loop().now();
-    auto& health = pool_->catalog().at(replica_).health;
-    const bool paused_before = health.paused(now);
-    health.pause_until(now + *pause);
-    if (!paused_before && pool_->on_pause)
-        pool_->on_pause(replica_, *pause);
-}
-
 forward_outcome upstream_connection::outcome_of_answer() const
 {
     if (answer_.status == misdirected_request)
--- a/gateway/src/upstream_pool.cpp
+++ b/gateway/src/upstream_pool.cpp
@@ -281,6 +281,36 @@
         report_unsent(*request);
 }
 
+void upstream_pool::record_notice(
+    replica_number number, const answer_notice& notice)
+{
+    report_changes(
+        number, notice, catalog_->apply_notice(number, notice, loop_->now()));
+}
+
+void upstream_pool::record_notice_of(
+    const std::string& id, std::uint64_t start_id, const answer_notice& notice)
+{
+    const auto applied =
+        catalog_->apply_notice_of(id, start_id, notice, loop_->now());
+    if (applied)
+        report_changes(applied->first, notice, applied->second);
+}
+
+void upstream_pool::report_changes(
+    replica_number number,
+    const answer_notice& notice,
+    const notice_changes& changes)
+{
+    if (changes.leaving && on_leaving)
+        on_leaving(number);
+    if (changes.rate_limit && on_rate_limit)
+        on_rate_limit(number);
+    if (changes.paused && on_pause)
+        on_pause(
+            number, std::chrono::duration_cast<milliseconds>(*notice.pause));
+}
+
 std::size_t upstream_pool::connection_count() const
 {
     std::size_t count = 0;
