core: a pause that the next start may have asked for survives its publication

Evidence: upstream_restarted, a new event, names the pause before and after another start of an upstream is read. That upstream_paused wasn't in the log is no evidence against it: 200 to 690 lines a second were left out then, and replicas_unusable counted the replica as paused.

Cause: a replica that has started again answers under its id before its new start is read from the store, so its pause was kept for the start before, and dropped with it.

Change: the catalog knows up to when it has read all publications; a pause that was asked for later is kept for the new start. What a start says of leaving, limit and load comes with its next answer, a pause doesn't.

Test: core_tests "[discovery]" failed without the condition (1 of 217 checks).

--- a/core/include/peridotward/core/discovery/upstream_catalog.hpp
+++ b/core/include/peridotward/core/discovery/upstream_catalog.hpp
@@ -4,6 +4,8 @@
 #include <peridotward/core/discovery/upstream_record.hpp>
 #include <peridotward/core/placement/replica_health.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -88,6 +90,10 @@
 class upstream_catalog
 {
 public:
+    /// Called when another start of an upstream takes the place of one.
+    std::function<void(const replica& before, const replica& after)>
+        on_restarted;
+
     /// Publications that lapsed in an outage of the store return within 2 s;
     /// the rest is the delay of the watch. Less than the minimum drain time of
     /// 3 s.
@@ -117,6 +123,15 @@
     /// \returns Whether that is new.
     bool mark_leaving(replica_number number);
 
+    /// \brief Records that all is known that was published before `time`.
+    ///
+    /// \remarks A pause that an upstream asked for later may be that of a start
+    /// that isn't known yet, so it survives the publication of that start.
+    void confirm(time_point time) noexcept
+    {
+        confirmed_at_ = std::max(confirmed_at_, time);
+    }
+
     /// \brief Records what an answer says of the upstream that sent it.
     /// \returns What is new.
     notice_changes apply_notice(
@@ -238,6 +253,7 @@
     /// lapsed and returns changes nothing.
     std::map<endpoint, upstream_notice> notices_;
     std::map<std::string, early_notice> early_notices_; ///< By id.
+    time_point confirmed_at_;
     /// When the store lost the exclusion of a domain.
     std::map<std::string, time_point, std::less<>> lost_exclusions_;
 };
--- a/core/src/discovery/upstream_catalog.cpp
+++ b/core/src/discovery/upstream_catalog.cpp
@@ -77,7 +77,9 @@
         const bool same_start = said.start_id == record.start_id;
         if (said.id == record.id && same_start)
             added->leaving = said.leaving;
-        if (said.id == record.id && same_start) {
+        // A later start may have said it before it was known.
+        if (said.id == record.id &&
+            (same_start || said.paused_at > confirmed_at_)) {
             added->health.pause_until(said.paused_until);
             added->paused_at = said.paused_at;
         }
@@ -144,6 +146,8 @@
         target.unpublished_at = now;
         remove(target.number);
         add(std::move(record), now);
+        if (on_restarted)
+            on_restarted(target, *replicas_.back());
         return;
     }
     target.unpublished_at.reset();
--- a/core/tests/discovery_test.cpp
+++ b/core/tests/discovery_test.cpp
@@ -520,6 +520,42 @@
     }
 }
 
+// Guards against requests to a replica that asked for a pause after it had
+// started again, but before its new start was read from the store.
+TEST_CASE(
+    "discovery: a pause that the next start may have asked for survives its "
+    "publication",
+    "[discovery]")
+{
+    const auto read = start + seconds{5};
+    struct example
+    {
+        duration asked; ///< After the last read.
+        bool kept;
+    };
+    for (const auto& [asked, kept] :
+         {example{-seconds{1}, false}, {seconds{1}, true}}) {
+        upstream_catalog catalog;
+        auto record = record_of("a", 1);
+        record.start_id = 1;
+        catalog.publish(record, start);
+        catalog.confirm(read);
+        answer_notice notice;
+        notice.pause = seconds{10};
+        CHECK(catalog.apply_notice(0, notice, read + asked).paused);
+        record.start_id = 2;
+        ++record.position.revision;
+        catalog.publish(record, read + seconds{2});
+        CHECK(only_replica(catalog).health.paused(read + seconds{3}) == kept);
+        // The pause of a start that has ended is not kept again.
+        catalog.confirm(read + seconds{2});
+        record.start_id = 3;
+        ++record.position.revision;
+        catalog.publish(record, read + seconds{4});
+        CHECK_FALSE(only_replica(catalog).health.paused(read + seconds{5}));
+    }
+}
+
 namespace {
 
 struct noticed_field
--- a/gateway/src/forwarder.cpp
+++ b/gateway/src/forwarder.cpp
@@ -130,6 +130,23 @@
     crash_history_exchange_.on_raised = [this](auto fingerprint, auto from) {
         log_crash_level(fingerprint, from);
     };
+    catalog_.on_restarted =
+        [this](const replica& before, const replica& after) {
+            const auto now = loop_->now();
+            const auto paused = [&](const replica& each) {
+                return std::max(each.health.paused_until() - now, duration{});
+            };
+            log_->write(
+                now,
+                event_severity::notable,
+                "upstream_restarted",
+                {{"replica", after.published.id},
+                 {"service", after.published.service},
+                 {"start", after.published.start_id},
+                 {"before", before.published.start_id},
+                 {"pause_before", paused(before)},
+                 {"pause", paused(after)}});
+        };
     pool_.on_pause = [this](replica_number number, milliseconds pause) {
         const auto& published = catalog_.at(number).published;
         stats_->count("upstream_pauses_total");
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -537,10 +537,14 @@
         const int instance = found->second->instance;
         const auto end = notice.at + notice.pause;
         const auto& times = arrivals[{instance, notice.replica_start}];
-        const auto count = static_cast<std::size_t>(
-            std::count_if(times.begin(), times.end(), [&](auto at) {
-                return at > notice.at + pause_bound && at < end;
-            }));
+        std::size_t count = 0;
+        auto first = end;
+        for (const auto at : times) {
+            if (at <= notice.at + pause_bound || at >= end)
+                continue;
+            ++count;
+            first = std::min(first, at);
+        }
         if (count > max_requests_in_pause &&
             !is_interrupted(instance, notice.at, end))
             violations.push_back(
@@ -550,7 +554,8 @@
                 milliseconds_text(notice.pause) + " of the refusal of " +
                 notice.id + ", whose caller got " +
                 std::to_string(found->second->status) + " after " +
-                milliseconds_text(found->second->ended - found->second->sent));
+                milliseconds_text(found->second->ended - found->second->sent) +
+                ", the first after " + milliseconds_text(first - notice.at));
     }
 }
 
