soak: storms of large configurations and values of other programs

The runs with hostile parts play storms of 5 to 25 configurations of up to 1 MB, and 20 to 219 entries of up to 1 MiB of another program, beside the other faults. The store's stand-in keeps events as text, since a storm of large values would hold up the other stand-ins on its thread.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -633,6 +633,51 @@
         {"shed", [&](auto& random) { shed_at_service(random); }}};
 }
 
+void soak_environment::send_config_storm(random_source& random)
+{
+    // As the platform's storms, at most as large as a value of its store.
+    constexpr milliseconds gap{80};
+    constexpr std::uint64_t max_padding = 1'000'000;
+    const auto padding = random.below(max_padding);
+    for (std::uint64_t left = 5 + random.below(21); left > 0; --left) {
+        run_on_standin_thread([&] {
+            config_padding_ = padding;
+            publish_config();
+        });
+        std::this_thread::sleep_for(gap);
+    }
+    change_config(random);
+    sleep_random(random, milliseconds{500}, 2500);
+    run_on_standin_thread([&] { config_padding_ = 0; });
+}
+
+void soak_environment::write_foreign_values(random_source& random)
+{
+    constexpr std::uint64_t max_bytes = 1'048'576;
+    const auto count = 20 + random.below(200);
+    const auto size = 1 + random.below(max_bytes);
+    const auto key_of = [](std::uint64_t number) {
+        return (number % 4 == 0 ? "my/" : "servers/x-") +
+               std::to_string(number);
+    };
+    for (std::uint64_t number = 0; number < count; ++number) {
+        run_on_standin_thread(
+            [&] { store_.put(key_of(number), std::string(size, '\xff')); });
+        std::this_thread::sleep_for(milliseconds{10});
+    }
+    sleep_random(random, milliseconds{500}, 3000);
+    for (std::uint64_t number = 0; number < count; ++number)
+        run_on_standin_thread([&] { store_.remove(key_of(number)); });
+}
+
+std::vector<fault_kind> soak_environment::value_faults()
+{
+    return {
+        {"config storm", [&](auto& random) { send_config_storm(random); }},
+        {"foreign values",
+         [&](auto& random) { write_foreign_values(random); }}};
+}
+
 void soak_environment::silence_replicas(random_source& random)
 {
     const auto from = steady::now();
@@ -778,6 +823,7 @@
     default:
         mixed.front().push_back(stop_faults().front());
         mixed.push_back(entry_faults());
+        mixed.push_back(value_faults());
         return mixed;
     }
 }
--- a/soak/soak_environment.cpp
+++ b/soak/soak_environment.cpp
@@ -37,11 +37,12 @@
 /// \returns `record` with the port of the second link, if it is a replica's.
 std::string with_second_link(const std::string& record)
 {
+    // Entries of other programs stay as they are.
+    if (record.size() > max_entry_bytes)
+        return record;
     auto changed = json::parse(record, nullptr, false);
     const auto found = changed.find("address");
-    // Entries of other programs stay as they are.
-    if (!changed.is_object() || found == changed.end() ||
-        record.size() > max_entry_bytes)
+    if (!changed.is_object() || found == changed.end())
         return record;
     const auto address = found->get<std::string>();
     const auto colon = address.rfind(':');
@@ -207,7 +208,8 @@
         json{
             {"version", config_version_},
             {"routes", routes},
-            {"services", services}}
+            {"services", services},
+            {"notes", std::string(config_padding_, 'n')}}
             .dump());
 }
 
--- a/soak/soak_environment.hpp
+++ b/soak/soak_environment.hpp
@@ -149,6 +149,7 @@
     [[nodiscard]] std::vector<fault_kind> stop_faults();
     [[nodiscard]] std::vector<fault_kind> entry_faults();
     [[nodiscard]] std::vector<fault_kind> message_faults();
+    [[nodiscard]] std::vector<fault_kind> value_faults();
     /// \returns The faults of each series, which run at the same time.
     [[nodiscard]] std::vector<std::vector<fault_kind>> series_of_run();
     [[nodiscard]] std::vector<std::vector<fault_kind>> stress_series();
@@ -184,6 +185,10 @@
     void restart_by_signal(int instance, random_source& random);
     /// Silences all replicas, while requests are open and configurations come.
     void silence_replicas(random_source& random);
+    /// Publishes configurations of up to 1 MB in quick succession.
+    void send_config_storm(random_source& random);
+    /// Writes entries of up to 1 MiB that can't be read, and removes them.
+    void write_foreign_values(random_source& random);
     /// Writes keys of another program that end like those of live replicas.
     void write_foreign_keys(random_source& random);
     /// Lets a replica, or all of its service, answer with bytes without end.
@@ -219,6 +224,8 @@
     callers* callers_ = nullptr;
     std::vector<std::string> added_paths_;
     std::uint64_t config_version_ = 0;
+    /// Bytes that are added to each configuration.
+    std::size_t config_padding_ = 0;
     std::string injected_faults_;
     std::mutex stops_mutex_; ///< Guards `stopping_`.
     std::set<int> stopping_; ///< Instances in a planned stop.
--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -69,12 +69,17 @@
 
 void store_state::record(const std::string& key, const item& change)
 {
-    history_bytes_ += change.value.size();
-    history_[change.revision] = {key, change.value, change.removed};
+    json told{{"key", key}, {"revision", change.revision}};
+    if (change.removed)
+        told["removed"] = true;
+    else
+        told["value"] = base64(change.value);
+    auto& event = history_[change.revision] = told.dump();
+    history_bytes_ += event.size();
     while (history_bytes_ > max_history_bytes) {
         const auto oldest = history_.begin();
         oldest_revision_ = std::max(oldest_revision_, oldest->first);
-        history_bytes_ -= oldest->second.value.size();
+        history_bytes_ -= oldest->second.size();
         history_.erase(oldest);
     }
 }
@@ -105,7 +110,7 @@
     }
     const auto lost_from = history_.upper_bound(copy_->revision);
     for (auto it = lost_from; it != history_.end(); ++it)
-        history_bytes_ -= it->second.value.size();
+        history_bytes_ -= it->second.size();
     history_.erase(lost_from, history_.end());
     items_ = copy_->items;
     revision_ = copy_->revision;
@@ -161,17 +166,13 @@
         return store_answer{410, "this history is not available"};
     if (revision == revision_)
         return std::nullopt;
-    auto list = json::array();
-    for (auto it = history_.upper_bound(revision); it != history_.end(); ++it) {
-        json told{{"key", it->second.key}, {"revision", it->first}};
-        if (it->second.removed)
-            told["removed"] = true;
-        else
-            told["value"] = base64(it->second.value);
-        list.push_back(std::move(told));
-    }
+    std::string events;
+    for (auto it = history_.upper_bound(revision); it != history_.end(); ++it)
+        events += (events.empty() ? "" : ",") + it->second;
     return store_answer{
-        200, json{{"events", list}, {"storeRevision", revision_}}.dump()};
+        200,
+        "{\"events\":[" + events +
+            "],\"storeRevision\":" + std::to_string(revision_) + "}"};
 }
 
 store_answer store_state::no_changes() const
--- a/tests/standins/store_state.hpp
+++ b/tests/standins/store_state.hpp
@@ -30,7 +30,7 @@
 class store_state
 {
 public:
-    /// Max size of the values in the change history; older changes are dropped.
+    /// Max size of the change history; older changes are dropped.
     static constexpr std::size_t max_history_bytes = 512U << 20U;
     /// Max size of the values in a page, if it has more than one item.
     static constexpr std::size_t max_page_bytes = 1'000'000;
@@ -82,16 +82,10 @@
         std::uint64_t revision;
     };
 
-    struct event
-    {
-        std::string key;
-        std::string value;
-        bool removed = false;
-    };
     void record(const std::string& key, const item& change);
 
     item_map items_;
-    std::map<std::uint64_t, event> history_; ///< By revision.
+    std::map<std::uint64_t, std::string> history_; ///< Events, by revision.
     std::size_t history_bytes_ = 0;
     std::optional<copy> copy_;
     std::uint64_t revision_ = 1;
