--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -59,27 +59,28 @@
 
 void store_state::put(const std::string& key, const std::string& value)
 {
-    record(key, items_[key] = {value, ++revision_, false});
+    record(key, items_[key] = {value, ++revision_, false, nullptr});
 }
 
 void store_state::remove(const std::string& key)
 {
-    record(key, items_[key] = {"", ++revision_, true});
+    record(key, items_[key] = {"", ++revision_, true, nullptr});
 }
 
-void store_state::record(const std::string& key, const item& change)
+void store_state::record(const std::string& key, item& change)
 {
-    json told{{"key", key}, {"revision", change.revision}};
-    if (change.removed)
-        told["removed"] = true;
-    else
-        told["value"] = base64(change.value);
-    auto& event = history_[change.revision] = told.dump();
-    history_bytes_ += event.size();
+    // Base64 needs no escapes.
+    change.text = std::make_shared<const std::string>(
+        "{\"key\":" + json(key).dump() +
+        ",\"revision\":" + std::to_string(change.revision) +
+        (change.removed ? ",\"removed\":true}"
+                        : ",\"value\":\"" + base64(change.value) + "\"}"));
+    history_[change.revision] = change.text;
+    history_bytes_ += change.text->size();
     while (history_bytes_ > max_history_bytes) {
         const auto oldest = history_.begin();
         oldest_revision_ = std::max(oldest_revision_, oldest->first);
-        history_bytes_ -= oldest->second.size();
+        history_bytes_ -= oldest->second->size();
         history_.erase(oldest);
     }
 }
@@ -110,7 +111,7 @@
     }
     const auto lost_from = history_.upper_bound(copy_->revision);
     for (auto it = lost_from; it != history_.end(); ++it)
-        history_bytes_ -= it->second.size();
+        history_bytes_ -= it->second->size();
     history_.erase(lost_from, history_.end());
     items_ = copy_->items;
     revision_ = copy_->revision;
@@ -134,29 +135,25 @@
 store_answer store_state::list(
     const std::string& after_key, std::size_t items_per_page) const
 {
-    auto items = json::array();
+    std::string items;
+    std::size_t count = 0;
     bool has_more = false;
     std::size_t bytes = 0;
     for (auto it = items_.upper_bound(after_key); it != items_.end(); ++it) {
         if (it->second.removed)
             continue;
         bytes += it->second.value.size();
-        has_more = items.size() == items_per_page ||
-                   (!items.empty() && bytes > max_page_bytes);
+        has_more =
+            count == items_per_page || (count > 0 && bytes > max_page_bytes);
         if (has_more)
             break;
-        items.push_back(
-            {{"key", it->first},
-             {"value", base64(it->second.value)},
-             {"revision", it->second.revision}});
+        items += (count++ == 0 ? "" : ",") + *it->second.text;
     }
     return {
         200,
-        json{
-            {"items", items},
-            {"hasMore", has_more},
-            {"storeRevision", revision_}}
-            .dump()};
+        "{\"items\":[" + items +
+            "],\"hasMore\":" + (has_more ? "true" : "false") +
+            ",\"storeRevision\":" + std::to_string(revision_) + "}"};
 }
 
 std::optional<store_answer>
@@ -168,7 +165,7 @@
         return std::nullopt;
     std::string events;
     for (auto it = history_.upper_bound(revision); it != history_.end(); ++it)
-        events += (events.empty() ? "" : ",") + it->second;
+        events += (events.empty() ? "" : ",") + *it->second;
     return store_answer{
         200,
         "{\"events\":[" + events +
--- a/tests/standins/store_state.hpp
+++ b/tests/standins/store_state.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -74,6 +75,8 @@
         std::string value;
         std::uint64_t revision = 0;
         bool removed = false;
+        /// As in the answers, which many calls repeat.
+        std::shared_ptr<const std::string> text;
     };
     using item_map = std::map<std::string, item>;
     struct copy
@@ -82,10 +85,11 @@
         std::uint64_t revision;
     };
 
-    void record(const std::string& key, const item& change);
+    void record(const std::string& key, item& change);
 
     item_map items_;
-    std::map<std::uint64_t, std::string> history_; ///< Events, by revision.
+    /// Events, by revision.
+    std::map<std::uint64_t, std::shared_ptr<const std::string>> history_;
     std::size_t history_bytes_ = 0;
     std::optional<copy> copy_;
     std::uint64_t revision_ = 1;
